Watch discovery where list changes are pushed

Discovery logged no failure, and no agent had a watch open: policy.Start asks to follow only where membershipMode is on_request (rightly: where changes are pushed nothing has to be asked for), and loop.carryOut was the only place that opened a watch. On sockets a push is a watch too, so the list came only with the fetches that failures force. Ruled out: the drain guard in policy.maySend and loop.forbidden (they act on what was told), and a slow discovery (it answers from the agent's own machine).

The loop now opens the watch itself where changes are pushed, and after a failure again with exponential backoff and jitter, bounded at 0.8 s.

--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -48,14 +49,26 @@
 	// callsPerS and callBurst bound the calls: a discovery that answers watches at
 	// once must not be asked in a tight loop. A watch outlives the gap.
 	callsPerS, callBurst = 10, 10
+	// pushFirst and pushMost bound the pause before a pushed watch that failed is opened
+	// again. What it would have brought counts as told 2 s after its wait.
+	pushFirst, pushMost = 50 * time.Millisecond, 800 * time.Millisecond
 	// maxList bounds an answer of discovery.
 	maxList = 8 << 20
 )
 
+// pushPause is the pause after so many failures in a row: exponential backoff with
+// jitter, as agents that lost one discovery must not all come back at once.
+func pushPause(failures int) time.Duration {
+	most := pushFirst << min(max(failures-1, 0), 10)
+	most = min(most, pushMost)
+	return most/2 + rand.N(most/2)
+}
+
 // discovery makes the calls that the module asks for and hands on what they
-// bring. When to call again after a failure is the module's to decide: a failed
-// call ends the watch and is told as ListFailed, and the module answers with a
-// timer, doubled and jittered, so that discovery is never hammered.
+// bring. When to call again after a failure is the module's to decide, but where
+// changes are pushed: a failed call ends the watch and is told as ListFailed, and the
+// module answers with a timer, doubled and jittered, so that discovery is never
+// hammered.
 type discovery struct {
 	ctx    context.Context // ends when another discovery takes its place
 	end    context.CancelFunc
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -54,6 +54,7 @@
 	unknown  bool   // of this discovery no whole list has come yet
 	watching bool
 	fetching bool
+	unheard  int // watches in a row that failed
 	ready    func()
 	figures  figures
 }
@@ -153,6 +154,9 @@
 	l.carryOut(l.balancer.Start(l.now(), l.actions[:0]))
 	// The list as last had comes with the start, however old, as at the simulator.
 	l.list(&l.cfg.Known, policy.ListCached, true)
+	if l.pushed() {
+		l.follow()
+	}
 	l.drain()
 	if l.table.usable() {
 		l.ready()
@@ -219,10 +223,7 @@
 				l.post(func() { l.handle(&policy.Event{Kind: policy.EvTimer, Token: token}) })
 			})
 		case policy.ActFollow:
-			if !l.watching { // one watch is enough; it tells what another would
-				l.watching = true
-				go l.disc.watch(l.version, l.unknown)
-			}
+			l.follow()
 		case policy.ActFetch:
 			if !l.fetching {
 				l.fetching = true
@@ -448,17 +449,42 @@
 
 // ---- discovery ----
 
+// pushed tells whether changes of the list come unasked. On sockets that is a watch too,
+// but the loop's own to keep open: a module that is pushed changes never asks for them.
+func (l *loop) pushed() bool { return l.cfg.Settings.Membership == "pushed" }
+
+// follow opens the watch; one is enough, as it tells what another would.
+func (l *loop) follow() {
+	if !l.watching {
+		l.watching = true
+		go l.disc.watch(l.version, l.unknown)
+	}
+}
+
+// followAgain opens a pushed watch that failed once more after a pause.
+func (l *loop) followAgain() {
+	l.unheard++
+	time.AfterFunc(pushPause(l.unheard), func() { l.post(l.follow) })
+}
+
 // onList takes an answer of discovery. A watch and a fetch may cross: what is
 // older than the list at hand is dropped, but for a whole list on the watch,
 // which is how a discovery that started again from nothing says so.
 func (l *loop) onList(list *List, watch bool, err error) {
-	if watch && err != nil {
-		l.watching = false
-	} else if !watch {
+	switch {
+	case !watch:
 		l.fetching = false
+	case err != nil:
+		l.watching = false
+	default:
+		l.unheard = 0
 	}
 	if err != nil {
 		l.log(slog.LevelWarn, "discovery call failed", "err", err)
+		if watch && l.pushed() {
+			l.followAgain()
+			return
+		}
 		l.handle(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
 		return
 	}
