Carry out probes on sockets, and hold failing servers by an agent's own turns

Seen, counted over 80 agents: each logged two refused probes in the first seconds and no more ("probe asked for where none is allowed"); the module waits for the end of a probe and allows two, so validation ended there, and up to 12 of 60 servers stood pending per agent. Ruled out: strikes being cleared (good was 0), and the stray rule taken alone.

At fault: loop.carryOut (ActProbe only logged), revalidate (probe for any cause), holdFor (aims only), fails (a fixed weight, so two failures 3 s apart were one stray). Now internal/agent/probe.go probes over kept connections; only servers that fell silent are validated by probe, and wait in the second tier for it; one that failed is held for turns of the agent's own, bounded at 8 s, and comes back by the lapse and the first send of a class that may repeat; what a server did counts by its age. Small fleets meet a server more often than once an aim, and there the hold stays as it was.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -42,13 +42,17 @@
 type sender struct {
 	pool        *pool
 	budget      *semaphore.Weighted
-	reportNames []string
+	reportNames []string // of the load reports that answers hold
+	probeNames  []string // and of those that probes bring
 }
 
 func newSender(c *Config, budget *semaphore.Weighted) *sender {
 	s := &sender{pool: newPool(c), budget: budget}
-	if c.Settings.Report.How == "inline" {
-		s.reportNames = c.Settings.Report.Names
+	if how := c.Settings.Report.How; how != "off" {
+		s.probeNames = c.Settings.Report.Names
+		if how == "inline" {
+			s.reportNames = c.Settings.Report.Names
+		}
 	}
 	return s
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -55,6 +55,7 @@
 	watching bool
 	fetching bool
 	unheard  int // watches in a row that failed
+	probes   int // under way
 	ready    func()
 	figures  figures
 }
@@ -236,8 +237,7 @@
 		case policy.ActLog:
 			l.log(slog.LevelInfo, "module", "text", a.Text)
 		case policy.ActProbe:
-			// Probes are forbidden here and the settings say so: never asked for.
-			l.log(slog.LevelError, "probe asked for where none is allowed")
+			l.probe(a)
 		}
 	}
 }
--- /dev/null
+++ b/internal/agent/probe.go
@@ -0,0 +1,90 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"clayproxy.example/clayproxy/policy"
+)
+
+// maxProbes bounds the probes under way, whatever the module asks for: each may take a
+// connection of those that requests need.
+const maxProbes = 16
+
+// probe asks a backend for its load and returns how that ended. It goes over a kept
+// connection where there is one, as a new one costs the backend more than the probe.
+// A probe may be asked again without harm: where a kept connection breaks, a new one
+// tells whether the backend is at fault.
+func (s *sender) probe(ctx context.Context, b *backend, addr string) result {
+	started := time.Now()
+	var r result
+	for range 2 {
+		var kept bool
+		if r, kept = s.probeOnce(ctx, b, addr, started.Add(2*s.pool.connectTimeout)); r.status != policy.Reset || !kept {
+			break
+		}
+	}
+	r.latencyMs = float64(time.Since(started).Microseconds()) / 1000
+	return r
+}
+
+// probeOnce makes one try, and tells whether it went over a kept connection.
+func (s *sender) probeOnce(ctx context.Context, b *backend, addr string, deadline time.Time) (r result, kept bool) {
+	cn, err := s.pool.get(ctx, b, addr, earliest(deadline, time.Now().Add(s.pool.connectTimeout)))
+	if err != nil {
+		if ours(err) {
+			return result{status: policy.Moot}, false
+		}
+		return result{status: policy.ConnectFailed}, false
+	}
+	reusable := false
+	defer func() {
+		if reusable {
+			s.pool.put(cn)
+		} else {
+			s.pool.close(cn)
+		}
+	}()
+	cn.SetDeadline(deadline)
+	if _, err := fmt.Fprintf(cn.Conn, "GET /-/load HTTP/1.1\r\nHost: %s\r\n\r\n", addr); err != nil {
+		return result{status: broken(err)}, cn.slot > 0
+	}
+	resp, body, err := readAnswer(cn.br, func(n int64) error {
+		if n > freeBody {
+			return spoilt("a load report of %d bytes", n)
+		}
+		return nil
+	})
+	s.pool.ages.count(cn.slot, err != nil && !errors.Is(err, errSpoilt) && broken(err) == policy.Reset)
+	if err != nil {
+		return result{status: broken(err)}, cn.slot > 0
+	}
+	reusable = !resp.Close
+	r = result{status: outcome(resp), code: resp.StatusCode}
+	if r.status == policy.OK {
+		r.report = parseReport([]string{string(body)}, s.probeNames)
+	}
+	return r, cn.slot > 0
+}
+
+// probe carries out a probe that the module asked for, and tells it the end. One that
+// can't be made is told as Moot: it says nothing of the backend.
+func (l *loop) probe(a *policy.Action) {
+	server, b := a.Server, l.table.byAddr[a.Server]
+	if !l.cfg.Settings.Limits.Probing || b == nil || b.addr == "" || b.closed.Load() || l.probes >= maxProbes {
+		l.pending = append(l.pending, policy.Event{Kind: policy.EvProbed, Server: server, Status: policy.Moot})
+		return
+	}
+	l.probes++
+	addr := b.addr
+	go func() {
+		r := l.sender.probe(l.ctx, b, addr)
+		l.post(func() {
+			l.probes--
+			l.handle(&policy.Event{Kind: policy.EvProbed, Server: server, Status: r.status,
+				LatencyMs: r.latencyMs, Report: r.report})
+		})
+	}()
+}
--- /dev/null
+++ b/internal/agent/probe_test.go
@@ -0,0 +1,98 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/policy"
+)
+
+// probing lets the agent probe, and get load reports from probes alone.
+func probing(c *Config) {
+	c.Settings.Limits.Probing = true
+	c.Settings.Report.How = "on_probe"
+}
+
+// reporting answers probes with a report and all else with its path.
+func reporting(c net.Conn, req *http.Request, n int) bool {
+	if req.URL.Path == "/-/load" {
+		return send(c, 200, "", "qps=3,util=0.5,eps=0")
+	}
+	return serving(c, req, n)
+}
+
+func TestProbeOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer func(c net.Conn, req *http.Request, n int) bool
+		status policy.Status
+		report []float32
+	}{
+		"a report":         {reporting, policy.OK, []float32{3, 0.5, 0}},
+		"a spoilt report":  {func(c net.Conn, _ *http.Request, _ int) bool { return send(c, 200, "", "qps=x") }, policy.OK, nil},
+		"not ready":        {func(c net.Conn, _ *http.Request, _ int) bool { return send(c, 503, "", "") }, policy.Error, nil},
+		"a closed one":     {func(net.Conn, *http.Request, int) bool { return false }, policy.Reset, nil},
+		"noise":            {func(c net.Conn, _ *http.Request, _ int) bool { c.Write([]byte("\x00\x01\n\n")); return true }, policy.Error, nil},
+		"an endless claim": {func(c net.Conn, _ *http.Request, _ int) bool { return send(c, 200, "Content-Length: 9\r\n", "x") }, policy.Error, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, c.answer)
+			s := testSender(10)
+			s.probeNames = s.reportNames
+			r := s.probe(context.Background(), &backend{}, b.addr)
+			if r.status != c.status || !slices.Equal(r.report, c.report) {
+				t.Errorf("status %d, report %v, want %d, %v", r.status, r.report, c.status, c.report)
+			}
+			// What can't be read is not kept.
+			if kept := len(s.pool.idle) > 0; kept != (r.code != 0) {
+				t.Errorf("connection kept: %v", kept)
+			}
+		})
+	}
+}
+
+// A probe goes over a kept connection; one that breaks there says nothing of the backend.
+func TestProbeOverKeptConnection(t *testing.T) {
+	b := newBackend(t, func(c net.Conn, req *http.Request, n int) bool { return n != 1 && reporting(c, req, n) })
+	s, to := testSender(10), &backend{}
+	s.probeNames = s.reportNames
+	for i := range 3 {
+		if r := s.probe(context.Background(), to, b.addr); r.status != policy.OK {
+			t.Errorf("probe %d ended with %d", i, r.status)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.arrivals != 4 || b.most != 1 {
+		t.Errorf("%d arrivals, %d connections at once, want 4 and 1", b.arrivals, b.most)
+	}
+}
+
+// What the module asks to probe is probed, and one that can't be is told at once.
+func TestProbeAction(t *testing.T) {
+	probed := make(chan string, 1)
+	b := newBackend(t, func(c net.Conn, req *http.Request, n int) bool {
+		probed <- req.URL.Path
+		return reporting(c, req, n)
+	})
+	a := startAgent(t, newDiscoveryServer(t, target("s-1", b.addr)), probing)
+	a.loop.post(func() {
+		name := a.loop.table.byID["s-1"].name
+		a.loop.carryOut([]policy.Action{{Kind: policy.ActProbe, Server: name}})
+		a.loop.carryOut([]policy.Action{{Kind: policy.ActProbe, Server: policy.Addr{1}}})
+		if n := len(a.loop.pending); a.loop.probes != 1 || n != 1 || a.loop.pending[n-1].Status != policy.Moot {
+			t.Errorf("%d probes under way, pending %+v", a.loop.probes, a.loop.pending)
+		}
+	})
+	select {
+	case path := <-probed:
+		if path != "/-/load" {
+			t.Errorf("probed %s", path)
+		}
+	case <-time.After(patience):
+		t.Fatal("the backend is never probed")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,6 +48,11 @@
 	// what the others do, before a failure puts it out: connections break, and answers come
 	// spoilt, from any server alike.
 	strayMost, strayFactor, straySmooth = 0.2, 1.5, 0.15
+	// failMemory is how long, in ms, what a server did before still tells of it: who meets
+	// it seldom has to go by the last attempt.
+	failMemory = 5000.0
+	// holdMost bounds in ms how long a server is held out, or waits for its validation.
+	holdMost = 8000.0
 	// unsent is the part of its time after which a request of which nothing was sent is
 	// given up: from half of it on the client counts the wait as worse than a refusal.
 	unsent = 0.46
@@ -315,7 +320,11 @@
 	case UnhealthyPending:
 		// What must not run twice does not check a server while others are healthy.
 		once := b.set.Classes[r.class].Effect == SingleShot && !b.stray(s)
-		if once || b.set.Limits.Probing && b.now-s.since < b.aimMin {
+		wait := b.aimMin
+		if s.silent {
+			wait = holdMost // its probe tells
+		}
+		if once || b.set.Limits.Probing && b.now-s.since < wait {
 			return 1
 		}
 	}
@@ -767,11 +776,19 @@
 // aim for a stray failure, doubled with each further strike. While the others have
 // no room there is none: a server that fails some requests is better than refusing
 // them all. One that answers nothing is not.
+//
+// An agent that meets a server seldom lets it miss a turn or more of its own instead: of
+// many agents each would spend most of its turns on finding out the same, and the server
+// would go on with nearly all of its traffic.
 func (b *Balancer) holdFor(s *server) float64 {
 	if (b.scarce || b.stray(s)) && !s.silent {
 		return 0
 	}
-	return b.aimMin * float64(int(1)<<max(s.strikes-1, 0))
+	unit := b.aimMin
+	if !s.silent {
+		unit = max(unit, b.gap*float64(len(b.servers)))
+	}
+	return max(min(unit*float64(int(1)<<max(s.strikes-1, 0)), holdMost), b.aimMin)
 }
 
 // watchSilence demotes servers that took attempts and have answered nothing for
@@ -798,7 +815,8 @@
 			b.enter(s, UnhealthyPending)
 			b.refetch()
 		}
-		pending := s.state == UnhealthyPending && s.usable
+		// That the process runs, all that a probe can tell, is known of one that answered.
+		pending := s.state == UnhealthyPending && s.usable && s.silent
 		if pending && b.set.Limits.Probing && !s.probing && b.mayProbe >= 1 && b.probes < probeCap {
 			s.probing = true
 			b.probes++
@@ -816,7 +834,7 @@
 	s.probing = false
 	b.probes--
 	switch {
-	case s.state != UnhealthyPending:
+	case s.state != UnhealthyPending || ev.Status == Moot: // no more is known than before
 	case ev.Status == OK:
 		b.heardFrom(s)
 		b.enter(s, Connected)
@@ -870,7 +888,7 @@
 	s, since := b.byAddr[e.Server], min(finite(e.SinceMs), b.now)
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
-			window: firstWindow, startedAt: since, listedAt: since}
+			window: firstWindow, startedAt: since, listedAt: since, toldAt: b.now}
 		b.byAddr[s.id] = s
 		s.credit = b.rng.Float64()
 		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
--- a/policy/state.go
+++ b/policy/state.go
@@ -37,6 +37,7 @@
 	restUntil float64 // passed over in its tier
 	rtt       float64 // mean answer time
 	failing   float64 // part of its attempts that fail
+	toldAt    float64 // when the last of them ended
 	credit    float64 // work a cold server may still be sent
 	score     float64 // place in a request's order; lower is nearer
 }
@@ -304,7 +305,8 @@
 
 // fails counts an attempt's end as a failure, or not, of the server and of them all.
 func (b *Balancer) fails(s *server, x float64) {
-	s.failing += straySmooth * (x - s.failing)
+	s.failing += max(straySmooth, 1-math.Exp((s.toldAt-b.now)/failMemory)) * (x - s.failing)
+	s.toldAt = b.now
 	b.failing += slowSmooth * (x - b.failing)
 }
 
