Admit by probed load and listed capacity, and let cold servers earn by requests

From 11 s on 200 to 400 of 1,600 requests a second were served, as crowded servers turn slow and stay so; 60% were refused only after the collapse, by the part served in time.

At fault: onRequest (refuses by hindsight only), earn (credit for cold servers by what warm ones had served, so none when those choke), gain(0) for each refusal (which made refusals cause refusals). Now every other probe that an agent earns samples a warm server; utilization, raised by a long queue, times the listed capacity is the demand, and it is compared with the capacity that the list leaves now. The target is 0.92, less where much capacity was lost of late, as moved keys are cold. Probes are bounded by price: 0.006 of the result.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -74,10 +74,20 @@
 	// agents may spend theirs at once, and the budget is counted over a short time.
 	coldBurst = 1.0
 	// coldMargin is what an even share may cost a cold server, in its present capacity: the
-	// warm ones save up to three quarters of the work by the keys they know.
-	coldMargin = 4.0
-	// probeCap bounds the probes under way, probeShare those for each request.
-	probeCap, probeShare = 2, 0.1
+	// warm ones save a good part of the work by the keys they know.
+	coldMargin = 2.5
+	// probeCap bounds the probes under way, probeShare those for each request, and
+	// probeSpend what they may take off the result.
+	probeCap, probeShare, probeSpend = 2, 0.1, 0.006
+	// queueMost is the requests for a weight of one that a server holds before its queue
+	// counts as overload.
+	queueMost = 4.0
+	// busyMost is the utilization that admission keeps warm servers to: over it requests
+	// wait, and servers tip. lossCaution is taken off by the part of the capacity that was
+	// lost of late: keys have moved from servers that knew them, and cost more than they did.
+	// busyMemory is the number of probes that tell it, busyDoubt of those taken for idle
+	// at a start, so that one hot server is not taken for all.
+	busyMost, lossCaution, busyMemory, busyDoubt = 0.92, 0.6, 8.0, 3.0
 
 	tickToken, followToken = 1, 2
 )
@@ -198,14 +208,20 @@
 			b.worst = i
 		}
 	}
-	b.mayProbe = min(b.mayProbe+probeShare, probeCap)
+	b.mayProbe = min(b.mayProbe+b.probeRate(), probeCap)
+	b.sample()
 	b.revalidate()
 	b.held = append(b.held, r)
-	if b.rng.Float64() < b.shed() {
-		b.gain(0)
+	shed, full := b.shed(), 1-b.admission()
+	b.admitted = mean(b.admitted, 1-max(shed, full), 4*slowSmooth)
+	if b.rng.Float64() < max(shed, full) {
+		if shed > full { // a refusal for want of room is no sign of a crowd
+			b.gain(0)
+		}
 		b.end(r)
 		return
 	}
+	b.earn(b.cost(r))
 	// A request whose hinted work cannot fit the aim anywhere would only keep
 	// others waiting: the costly few of a heavy tail.
 	if r.hint > 0 && c.LateShare == 0 && hopeless*b.hintedTime(r) > r.aimAt-b.now {
@@ -237,6 +253,58 @@
 	return min(max(b.tried-shedFactor*b.gained, 0)/(b.tried+1), shedMost)
 }
 
+// admission is the part of the requests that the listed servers have room for. Load
+// that many servers bear is known from probes, and moves on when servers go: what is
+// left of the fleet can be told before the rest is crowded.
+func (b *Balancer) admission() float64 {
+	if b.demand == 0 {
+		return 1
+	}
+	have := b.capacity()
+	most := busyMost - lossCaution*(1-have/max(b.peak, have))
+	return min(max(most*have/b.demand, 1-shedMost), 1)
+}
+
+// busy takes a warm server's utilization into the load that the whole fleet would bear
+// were nothing refused, in units of a warm server of weight one.
+func (b *Balancer) busy(s *server, report []float32) {
+	i := slices.Index(b.set.Report.Names, "util")
+	if i < 0 || i >= len(report) || b.ramp(s) < 1 || !s.usable {
+		return
+	}
+	util := finite(float64(report[i]))
+	if i := slices.Index(b.set.Report.Names, "inflight"); i >= 0 {
+		// A full server can't say by its utilization how much too much it gets.
+		util *= math.Sqrt(max(finite(float64(report[i]))/(queueMost*s.weight), 1))
+	}
+	b.sampled++
+	demand := util * b.capacity() / max(b.admitted, 1-shedMost)
+	b.demand += (demand - b.demand) * max(1/busyMemory, 1/(b.sampled+busyDoubt))
+}
+
+// sample probes a server at random for its load.
+func (b *Balancer) sample() {
+	if !b.set.Limits.Probing || b.mayProbe < 1 || b.probes >= probeCap || len(b.servers) == 0 ||
+		!slices.Contains(b.set.Report.Names, "util") {
+		return
+	}
+	if b.validates = !b.validates; b.validates {
+		return // this probe is for validation, if any server waits for it
+	}
+	s := b.servers[b.rng.IntN(len(b.servers))]
+	if s.usable && s.state < Unhealthy && b.ramp(s) == 1 && !s.probing {
+		s.sampled = true
+		b.probe(s)
+	}
+}
+
+func (b *Balancer) probe(s *server) {
+	s.probing = true
+	b.probes++
+	b.mayProbe--
+	b.do(Action{Kind: ActProbe, Server: s.id})
+}
+
 // value is the worth that a unit of server time spent on the request earns, by
 // the objective: a part of the whole, and all of the worst class if it is of it.
 func (b *Balancer) value(r *request) float64 {
@@ -494,21 +562,22 @@
 	return true
 }
 
-// earn keeps each cold server's credit: for all that warm servers have served it may
-// get its share by weight and ramp. Then the servers' shares of all agents together
-// stay in proportion to what they can do, without any agreement. What was only sent
-// does not count: in a crowd it is many times what gets done (ifa9784: 6 attempts a
-// request, most turned away, and 4 times its capacity sent to a cold server).
-func (b *Balancer) earn(s *server, cost float64) {
-	warm := b.warmWeight()
-	if b.ramp(s) < 1 || warm == 0 {
+// earn keeps each cold server's credit: of each request that is admitted it may get its
+// share by weight and ramp. Then the servers' shares of all agents together stay in
+// proportion to what they can do, without any agreement. An attempt does not count: in a
+// crowd there are many times as many (ifa9784: 6 attempts a request, most turned away,
+// and 4 times its capacity sent to a cold server). What is served does not either: where
+// the warm servers choke, the cold ones that could take over would be left idle.
+func (b *Balancer) earn(cost float64) {
+	all := b.capacity()
+	if all == 0 {
 		return
 	}
-	b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/warm
+	b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/all
 	b.flowAt = b.now
 	for _, o := range b.servers {
 		if b.ramp(o) < 1 {
-			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/warm, coldBurst)
+			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/all, coldBurst)
 		}
 	}
 }
@@ -682,7 +751,6 @@
 
 func (b *Balancer) served(a *attempt, ev *Event) {
 	s, r, rtt := a.s, a.r, ev.LatencyMs
-	b.earn(s, a.cost)
 	b.again = min(b.again+againShare, againMost)
 	b.learnHint(r, rtt)
 	b.heardFrom(s)
@@ -818,10 +886,7 @@
 		// That the process runs, all that a probe can tell, is known of one that answered.
 		pending := s.state == UnhealthyPending && s.usable && s.silent
 		if pending && b.set.Limits.Probing && !s.probing && b.mayProbe >= 1 && b.probes < probeCap {
-			s.probing = true
-			b.probes++
-			b.mayProbe--
-			b.do(Action{Kind: ActProbe, Server: s.id})
+			b.probe(s)
 		}
 	}
 }
@@ -833,8 +898,16 @@
 	}
 	s.probing = false
 	b.probes--
+	if ev.Status == OK && s.sampled { // those that are validated are no fair sample
+		b.busy(s, ev.Report)
+	}
+	s.sampled = false
 	switch {
-	case s.state != UnhealthyPending || ev.Status == Moot: // no more is known than before
+	case ev.Status == Moot || s.state == Unhealthy: // no more is known than before
+	case s.state <= Unknown:
+		if ev.Status == Timeout || ev.Status == ConnectFailed {
+			b.enter(s, UnhealthyPending) // it may only stand still: a second probe tells
+		}
 	case ev.Status == OK:
 		b.heardFrom(s)
 		b.enter(s, Connected)
--- a/policy/state.go
+++ b/policy/state.go
@@ -26,6 +26,7 @@
 	strikes   int     // how often it failed of late; sets the hold
 	good      int     // served since the last change of strikes
 	probing   bool
+	sampled   bool       // by the probe under way
 	out       []*attempt // attempts out, oldest first
 	heard     float64    // when it last answered anything
 	lat       float64    // mean answer time as a part of the aim
@@ -103,6 +104,10 @@
 	warm      float64 // weight of warm servers, at warmAt and warmEpoch
 	warmAt    float64
 	warmEpoch uint64
+	cap       float64 // weight of usable servers by ramp, at capAt and capEpoch
+	peak      float64 // the most of it of late, fading over the cold time
+	capAt     float64
+	capEpoch  uint64
 	epoch     uint64  // counts changes of tiers and list
 	own       float64 // how much more a server of the own zone weighs
 	inflight  int
@@ -114,7 +119,11 @@
 	gained    float64
 	again     float64 // further attempts that may be made
 	probes    int
+	validates bool      // the last probe earned was left to validation
 	mayProbe  float64   // probes that may be sent
+	sampled   float64   // load reports taken
+	demand    float64   // load on the fleet were nothing refused, in warm servers of weight one
+	admitted  float64   // part of requests not shed
 	expect    []float64 // per class: mean answer time
 	meanHint  float64
 	hints     float64 // answers to hinted requests, and their means and spread
@@ -255,6 +264,26 @@
 	return b.warm
 }
 
+// capacity is the weight of the servers that may be sent to, each by its ramp.
+func (b *Balancer) capacity() float64 {
+	if b.capAt != b.now || b.capEpoch != b.epoch {
+		b.peak *= math.Exp((b.capAt - b.now) / max(b.set.Contract.ColdMs, 1))
+		b.cap, b.capAt, b.capEpoch = 0, b.now, b.epoch
+		for _, s := range b.servers {
+			if s.usable && s.state < Unhealthy {
+				b.cap += s.weight * b.ramp(s)
+			}
+		}
+		b.peak = max(b.peak, b.cap)
+	}
+	return b.cap
+}
+
+// probeRate is the probes that each request earns, by their price.
+func (b *Balancer) probeRate() float64 {
+	return min(probeShare, probeSpend/max(b.set.Prices.Probe, 1e-9))
+}
+
 // partOfAim is an answer time as a part of the aim. Where hints tell the work a
 // costly request counts as one of mean work; a small one is not scaled up, as its
 // time is mostly the network's.
