Suspect a whole zone when its servers fall silent together

Ruled out: late list news (the list keeps silent servers for 5 s and more by design) and validation (no dead server was taken back by a probe). At fault: watchSilence and demote, which take every server for itself.

Two silent servers of a zone, with no answer from any of it since those attempts were sent, now put the rest of the zone into UnhealthyPending until a probe or an answer clears them all, or the bounded lapse.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,6 +51,8 @@
 	// failMemory is how long, in ms, what a server did before still tells of it: who meets
 	// it seldom has to go by the last attempt.
 	failMemory = 5000.0
+	// zoneLost is the number of silent servers that make an agent suspect all of their zone.
+	zoneLost = 2
 	// holdMost bounds in ms how long a server is held out, or waits for its validation.
 	holdMost = 8000.0
 	// unsent is the part of its time after which a request of which nothing was sent is
@@ -694,6 +696,7 @@
 	case ConnectFailed:
 		// One that says no is there; one that lets the connect run out is not.
 		b.fails(s, 1)
+		s.silentFrom = a.sentAt
 		b.demote(s, ev.LatencyMs >= b.set.Limits.ConnectTimeoutMs)
 		if s.lostAt == 0 {
 			s.lostAt = b.now
@@ -706,6 +709,7 @@
 			b.learnHint(a.r, ev.LatencyMs)
 			b.learn(s, b.partOfAim(a.r, ev.LatencyMs))
 		} else {
+			s.silentFrom = a.sentAt
 			b.demote(s, true)
 		}
 	case Full:
@@ -825,6 +829,9 @@
 		s.startedAt, s.window, s.credit = b.now, 1, 0
 	}
 	s.heard, s.lostAt = b.now, 0
+	if s.suspect {
+		b.clearZone(s.zone)
+	}
 }
 
 // demote makes a server Unhealthy. Failures of one moment count as one strike.
@@ -837,9 +844,50 @@
 			s.window = max(s.window/2, 1)
 		}
 	}
+	if silent {
+		b.suspectZone(s.zone)
+	}
 	b.refetch()
 }
 
+// suspectZone passes over a failure domain of which several servers have fallen silent and
+// none has answered since: an agent that meets each seldom would find out one by one, at a
+// request's loss each. Probes, or an answer, clear all that are only suspected.
+func (b *Balancer) suspectZone(zone int) {
+	heard, lost := 0.0, 0
+	for _, s := range b.servers {
+		if s.zone == zone && s.usable {
+			heard = max(heard, s.heard)
+		}
+	}
+	for _, s := range b.servers {
+		if s.zone == zone && s.usable && s.state >= UnhealthyPending && s.silent && s.silentFrom > heard {
+			lost++
+		}
+	}
+	if lost < zoneLost {
+		return
+	}
+	for _, s := range b.servers {
+		if s.zone == zone && s.usable && s.state <= Unknown {
+			b.enter(s, UnhealthyPending)
+			s.silent, s.suspect = true, true
+		}
+	}
+}
+
+// clearZone takes back a suspicion that an answer from the zone has refuted.
+func (b *Balancer) clearZone(zone int) {
+	for _, s := range b.servers {
+		if s.zone == zone && s.suspect {
+			if s.suspect = false; s.state == UnhealthyPending {
+				b.enter(s, Unknown)
+				s.silent = false
+			}
+		}
+	}
+}
+
 // holdFor is how long a server stays Unhealthy before it is validated again: one
 // aim for a stray failure, doubled with each further strike. While the others have
 // no room there is none: a server that fails some requests is better than refusing
@@ -868,6 +916,7 @@
 		}
 		a := s.out[0]
 		if b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*8/float64(min(len(s.out), 3)) {
+			s.silentFrom = a.sentAt
 			b.demote(s, true)
 		}
 	}
@@ -972,7 +1021,7 @@
 	if since > s.listedAt {
 		// A new process: nothing known of the old one holds, and it is cold.
 		s.listedAt = since
-		s.startedAt, s.state, s.since, s.silent = since, Unknown, b.now, false
+		s.startedAt, s.state, s.since, s.silent, s.suspect = since, Unknown, b.now, false, false
 		s.strikes, s.good, s.lat, s.samples, s.window = 0, 0, 0, 0, 1
 		// A part of a request by chance: of many agents that never earn a whole one, as
 		// many send one as together earned one (ia9314f: new servers were left idle).
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1186,3 +1186,69 @@
 		t.Errorf("%d probes of a server that answers", probes)
 	}
 }
+
+// On a day that lost a zone of 20 servers 80 agents found that out one server at a time,
+// at a lost request each. Two that are silent, with no word from the zone since, tell.
+func TestSilentZoneIsPassedOverAsAWhole(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		set := testSettings()
+		set.Limits.Probing = true
+		r := newRig(t, set, 12) // the odd ones are of zone 1
+		lost := func(i int) {
+			id, s := r.sent(0, r.b.rng.Uint64())
+			for r.b.byAddr[s].zone != 1 || r.b.byAddr[s].state > Unknown {
+				r.now++
+				r.outcome(id, 0, s, OK, 1)
+				id, s = r.sent(0, r.b.rng.Uint64())
+			}
+			r.now += 100
+			if answers && i > 0 {
+				for _, o := range r.b.servers {
+					o.heard = r.now
+				}
+			}
+			r.outcome(id, 0, s, ConnectFailed, 100)
+		}
+		suspects := func() (n int) {
+			for _, s := range r.b.servers {
+				if s.suspect {
+					n++
+				}
+			}
+			return n
+		}
+		// The answers that the search above draws from zone 1 are older than these sends.
+		lost(0)
+		r.now += 10
+		first := r.b.now
+		for _, s := range r.b.servers {
+			if s.silent {
+				s.silentFrom = first
+			}
+			s.heard = min(s.heard, first-1)
+		}
+		lost(1)
+		if got := suspects(); answers == (got > 0) {
+			t.Fatalf("the zone answers: %v, %d servers suspected", answers, got)
+		}
+		if answers {
+			continue
+		}
+		for _, s := range r.b.servers {
+			if s.zone == 1 && s.state <= Unknown || s.zone == 0 && s.state > Unknown {
+				t.Errorf("server of zone %d in state %d", s.zone, s.state)
+			}
+		}
+		for _, s := range r.b.servers {
+			if s.suspect {
+				s.probing = true
+				r.b.probes++
+				r.do(Event{Kind: EvProbed, Server: s.id, Status: OK, LatencyMs: 1})
+				break
+			}
+		}
+		if got := suspects(); got > 0 {
+			t.Errorf("%d servers still suspected after an answer from the zone", got)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -11,36 +11,38 @@
 
 // server is what the agent knows of one listed server.
 type server struct {
-	id        Addr
-	hash      uint64
-	zone      int
-	cell      int
-	weight    float64
-	listedAt  float64 // start of its process by the list
-	startedAt float64 // the same, or later where a restart is assumed
-	usable    bool    // listed as ready
-	state     State
-	since     float64 // when the state was entered
-	silent    bool    // demoted for silence, not for an answer
-	lostAt    float64 // first failed connect since it last answered; 0: none
-	strikes   int     // how often it failed of late; sets the hold
-	good      int     // served since the last change of strikes
-	probing   bool
-	sampled   bool       // by the probe under way
-	out       []*attempt // attempts out, oldest first
-	heard     float64    // when it last answered anything
-	lat       float64    // mean answer time as a part of the aim
-	samples   int
-	window    float64 // attempts it may hold of this agent
-	cutAt     float64
-	sentAt    float64 // last attempt
-	gap       float64 // mean time between attempts
-	restUntil float64 // passed over in its tier
-	rtt       float64 // mean answer time
-	failing   float64 // part of its attempts that fail
-	toldAt    float64 // when the last of them ended
-	credit    float64 // work a cold server may still be sent
-	score     float64 // place in a request's order; lower is nearer
+	id         Addr
+	hash       uint64
+	zone       int
+	cell       int
+	weight     float64
+	listedAt   float64 // start of its process by the list
+	startedAt  float64 // the same, or later where a restart is assumed
+	usable     bool    // listed as ready
+	state      State
+	since      float64 // when the state was entered
+	silent     bool    // demoted for silence, not for an answer
+	lostAt     float64 // first failed connect since it last answered; 0: none
+	silentFrom float64 // when the attempt was sent that it fell silent on
+	suspect    bool    // taken for silent as others of its zone are
+	strikes    int     // how often it failed of late; sets the hold
+	good       int     // served since the last change of strikes
+	probing    bool
+	sampled    bool       // by the probe under way
+	out        []*attempt // attempts out, oldest first
+	heard      float64    // when it last answered anything
+	lat        float64    // mean answer time as a part of the aim
+	samples    int
+	window     float64 // attempts it may hold of this agent
+	cutAt      float64
+	sentAt     float64 // last attempt
+	gap        float64 // mean time between attempts
+	restUntil  float64 // passed over in its tier
+	rtt        float64 // mean answer time
+	failing    float64 // part of its attempts that fail
+	toldAt     float64 // when the last of them ended
+	credit     float64 // work a cold server may still be sent
+	score      float64 // place in a request's order; lower is nearer
 }
 
 // attempt is one send of a request.
