--- a/policy/policy.go
+++ b/policy/policy.go
@@ -84,6 +84,8 @@
 	// queueMost is the requests for a weight of one that a server holds before its queue
 	// counts as overload.
 	queueMost = 4.0
+	// sampleTries is how many servers are drawn for one that can be sampled.
+	sampleTries = 4
 	// busyMost is the utilization that admission keeps warm servers to: over it requests
 	// wait, and servers tip. lossCaution is taken off by the part of the capacity that was
 	// lost of late: keys have moved from servers that knew them, and cost more than they did.
@@ -294,7 +296,10 @@
 		return // this probe is for validation, if any server waits for it
 	}
 	s := b.servers[b.rng.IntN(len(b.servers))]
-	if s.usable && s.state < Unhealthy && b.ramp(s) == 1 && !s.probing {
+	for tries := 1; s.suspect && tries < sampleTries; tries++ {
+		s = b.servers[b.rng.IntN(len(b.servers))] // a lost zone tells nothing of the load
+	}
+	if s.usable && s.state < Unhealthy && !s.suspect && b.ramp(s) == 1 && !s.probing {
 		s.sampled = true
 		b.probe(s)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1187,6 +1187,41 @@
 	}
 }
 
+// While a zone is suspected the servers that bear its load are sampled, not the lost ones:
+// their probes run out, and the load was known too late to be refused.
+func TestSuspectedServersAreNotSampled(t *testing.T) {
+	set := testSettings()
+	set.Limits.Probing = true
+	set.Report = Report{How: "on_probe", Names: []string{"inflight", "util"}}
+	r := newRig(t, set, 10)
+	for i, s := range r.b.servers {
+		if s.suspect = i%3 > 0; s.suspect {
+			s.silent = true
+			r.b.enter(s, UnhealthyPending)
+		}
+	}
+	sampled := 0
+	for range 400 {
+		r.b.mayProbe, r.b.validates = 1, true
+		r.b.sample()
+		for _, s := range r.b.servers {
+			if s.probing {
+				if sampled++; s.suspect {
+					t.Fatal("a suspected server is sampled")
+				}
+				r.do(Event{Kind: EvProbed, Server: s.id, Status: OK, Report: []float32{1, 0.5}})
+				break
+			}
+		}
+		for _, s := range r.b.servers {
+			s.suspect = s.state == UnhealthyPending // an answer clears them
+		}
+	}
+	if sampled < 300 {
+		t.Errorf("%d of 400 samples taken", sampled)
+	}
+}
+
 // On a day that lost a zone of 20 servers 80 agents found that out one server at a time,
 // at a lost request each. Two that are silent, with no word from the zone since, tell.
 func TestSilentZoneIsPassedOverAsAWhole(t *testing.T) {
