Form tiers of a sample on large fleets, and count servers once for each change

Change: over 64 servers a request's tiers are formed of 48 that follow its key's place on a ring, the same at all agents; without a healthy one among them all servers are ranked as before. Places are by count, so each server is in as many samples. Servers that are not healthy or not warm are noted once for each change of tiers or list. Up to 64 servers nothing is sampled.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,6 +86,10 @@
 	queueMost = 4.0
 	// sampleTries is how many servers are drawn for one that can be sampled.
 	sampleTries = 4
+	// tierMost is the number of servers up to which a request's tiers are formed of all, and
+	// tierSample of how many they are formed where there are more: enough that a sample
+	// without a healthy server tells of a fleet that is mostly lost.
+	tierMost, tierSample = 64, 48
 	// busyMost is the utilization that admission keeps warm servers to: over it requests
 	// wait, and servers tip. lossCaution is taken off by the part of the capacity that was
 	// lost of late: keys have moved from servers that knew them, and cost more than they did.
@@ -410,15 +414,43 @@
 // takes the first server that is under its cap and has room. Only servers that
 // matter are scored, and none are sorted: with hundreds of them that took more than
 // the agent's CPU share.
+//
+// On a large fleet the tiers are formed of a sample, the same at all agents for a key. One
+// with no healthy server, or none that the request may go to, leaves the pick to all.
 func (b *Balancer) pick(r *request) *server {
+	if len(b.ring) > tierMost {
+		if s, some := b.pickOf(r, b.window(r), 2); some {
+			return s
+		}
+	}
+	s, _ := b.pickOf(r, b.servers, 6)
+	return s
+}
+
+// window is the sample for a request: the servers that follow its key's place on the ring.
+// Places are by count and not by hash, so that each server is in as many samples as the
+// next; a change of the list moves each by one at the most.
+func (b *Balancer) window(r *request) []*server {
+	x := mix(mix(r.spot))
+	if r.key == 0 {
+		x = b.rng.Uint64()
+	}
+	at := int(float64(x>>11) / (1 << 53) * float64(len(b.ring)))
+	b.sampleOf = append(b.sampleOf[:0], b.ring[at:min(at+tierSample, len(b.ring))]...)
+	return append(b.sampleOf, b.ring[:tierSample-len(b.sampleOf)]...)
+}
+
+// pickOf is the pick among some servers, in so many passes of two a tier; some tells
+// whether a tier of these had anyone.
+func (b *Balancer) pickOf(r *request, servers []*server, passes int) (best *server, some bool) {
 	waits := b.waits(r)
-	for pass := range 6 {
+	for pass := range passes {
 		// Of each tier those that rest come last, unless most do: then all are crowded.
 		rank, rest := pass/2, pass%2 == 0
 		tier, resting := b.tier[:0], 0.0
 		r.tierWeight = 0
 		var near [keyServers]*server
-		for _, s := range b.servers {
+		for _, s := range servers {
 			if b.rank(s, r) != rank || !b.maySend(r, s) {
 				continue
 			}
@@ -442,19 +474,19 @@
 		if r.tierWeight == 0 || rest && (len(tier) == 0 || resting > r.tierWeight/2) {
 			continue // an empty tier passes down
 		}
+		r.tierWeight *= float64(len(b.servers)) / float64(len(servers))
 		if waits && len(tier) > keyServers {
 			r.near, r.epoch = near, b.epoch
-			tier = near[:]
+			tier = r.near[:]
 		}
-		var best *server
 		for _, s := range tier {
 			if (best == nil || s.score < best.score) && b.takes(s, r) {
 				best = s
 			}
 		}
-		return best
+		return best, true
 	}
-	return nil
+	return nil, false
 }
 
 // waits tells whether the request still waits for the servers nearest its key.
@@ -582,7 +614,8 @@
 	}
 	b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/all
 	b.flowAt = b.now
-	for _, o := range b.servers {
+	b.survey()
+	for _, o := range b.cold {
 		if b.ramp(o) < 1 {
 			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/all, coldBurst)
 		}
@@ -832,6 +865,7 @@
 func (b *Balancer) heardFrom(s *server) {
 	if s.lostAt > 0 && b.now-s.lostAt > b.set.Contract.TipAfterMs {
 		s.startedAt, s.window, s.credit = b.now, 1, 0
+		b.epoch++
 	}
 	s.heard, s.lostAt = b.now, 0
 	if s.suspect {
@@ -930,7 +964,8 @@
 // revalidate is what each request triggers: servers that were Unhealthy long
 // enough are refreshed to pending and validated in the background.
 func (b *Balancer) revalidate() {
-	for _, s := range b.servers {
+	b.survey()
+	for _, s := range b.ill {
 		// One attempt that hangs must not keep out a server that answers the others.
 		free := len(s.out) == 0 || !s.silent && b.stray(s)
 		if s.state == Unhealthy && s.usable && free && b.now-s.since >= b.holdFor(s) {
@@ -1002,12 +1037,14 @@
 			s.usable = s.usable && named[s.id]
 		}
 	}
+	forget := func(s *server) bool { return !s.usable && len(s.out) == 0 && !s.probing }
+	b.ring = slices.DeleteFunc(b.ring, forget)
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
-		forget := !s.usable && len(s.out) == 0 && !s.probing
-		if forget {
+		if forget(s) {
 			delete(b.byAddr, s.id)
+			return true
 		}
-		return forget
+		return false
 	})
 }
 
@@ -1018,10 +1055,8 @@
 			window: firstWindow, startedAt: since, listedAt: since, toldAt: b.now}
 		b.byAddr[s.id] = s
 		s.credit = b.rng.Float64()
-		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
-			return cmp.Compare(hashAddr(x.id), hashAddr(y.id))
-		})
-		b.servers = slices.Insert(b.servers, i, s)
+		b.servers = insert(b.servers, s, func(x *server) uint64 { return hashAddr(x.id) })
+		b.ring = insert(b.ring, s, func(x *server) uint64 { return x.hash })
 	}
 	if since > s.listedAt {
 		// A new process: nothing known of the old one holds, and it is cold.
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"bytes"
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -103,9 +105,13 @@
 	keyed     float64
 	tier      []*server // scratch of pick
 	pasts     []past
-	warm      float64 // weight of warm servers, at warmAt and warmEpoch
-	warmAt    float64
-	warmEpoch uint64
+	ring      []*server // by hash
+	sampleOf  []*server // scratch of window
+	surveyed  uint64    // one more than the epoch of the last survey, which found:
+	ill       []*server // UnhealthyPending or Unhealthy
+	cold      []*server
+	warmTop   float64 // weight of the usable warm servers of the top tier
+	warmAll   float64 // and of those not Unhealthy
 	cap       float64 // weight of usable servers by ramp, at capAt and capEpoch
 	peak      float64 // the most of it of late, fading over the cold time
 	capAt     float64
@@ -251,27 +257,50 @@
 	return c.ColdFrom + (1-c.ColdFrom)*max(age, 0)/c.ColdMs
 }
 
-// warmWeight is the weight of the servers of the top tier that are not cold, counted
-// once for all decisions of a moment.
-func (b *Balancer) warmWeight() float64 {
-	if b.warmAt == b.now && b.warmEpoch == b.epoch {
-		return b.warm
+// survey notes, once for each change of tiers and list, the servers that most decisions
+// turn on: those not healthy, and those not yet warm; of the others the weight is enough.
+func (b *Balancer) survey() {
+	if b.surveyed == b.epoch+1 {
+		return
 	}
-	b.warm, b.warmAt, b.warmEpoch = 0, b.now, b.epoch
+	b.surveyed = b.epoch + 1
+	b.ill, b.cold, b.warmTop, b.warmAll = b.ill[:0], b.cold[:0], 0, 0
 	for _, s := range b.servers {
+		if s.state > Unknown {
+			b.ill = append(b.ill, s)
+		}
+		switch {
+		case b.ramp(s) < 1:
+			b.cold = append(b.cold, s)
+		case s.usable && s.state <= Unknown:
+			b.warmTop += s.weight
+			b.warmAll += s.weight
+		case s.usable && s.state < Unhealthy:
+			b.warmAll += s.weight
+		}
+	}
+}
+
+// warmWeight is the weight of the servers of the top tier that are not cold.
+func (b *Balancer) warmWeight() float64 {
+	b.survey()
+	warm := b.warmTop
+	for _, s := range b.cold { // some of them are warm by now
 		if s.usable && s.state <= Unknown && b.ramp(s) == 1 {
-			b.warm += s.weight
+			warm += s.weight
 		}
 	}
-	return b.warm
+	return warm
 }
 
-// capacity is the weight of the servers that may be sent to, each by its ramp.
+// capacity is the weight of the servers that may be sent to, each by its ramp, counted
+// once for all decisions of a moment.
 func (b *Balancer) capacity() float64 {
 	if b.capAt != b.now || b.capEpoch != b.epoch {
+		b.survey()
 		b.peak *= math.Exp((b.capAt - b.now) / max(b.set.Contract.ColdMs, 1))
-		b.cap, b.capAt, b.capEpoch = 0, b.now, b.epoch
-		for _, s := range b.servers {
+		b.cap, b.capAt, b.capEpoch = b.warmAll, b.now, b.epoch
+		for _, s := range b.cold {
 			if s.usable && s.state < Unhealthy {
 				b.cap += s.weight * b.ramp(s)
 			}
@@ -379,6 +408,14 @@
 	return old + weight*(x-old)
 }
 
+// insert puts a server in its place by key.
+func insert(servers []*server, s *server, key func(*server) uint64) []*server {
+	i, _ := slices.BinarySearchFunc(servers, s, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(key(x), key(y)), bytes.Compare(x.id[:], y.id[:]))
+	})
+	return slices.Insert(servers, i, s)
+}
+
 func hashAddr(a Addr) uint64 {
 	h := uint64(0)
 	for _, x := range a {
