Play a whole fleet in simulated time, from one seed, to see how decisions add up

Change: internal/lab/model is a report server (cores, bounded queue, memory of keys, cold start and toppling, stalls, choking), a state machine without I/O; internal/lab/fleet plays the module of every agent against such servers in calm, zone, join, release, herd and split; cmd/chalklab prints it. The module tells what it believes by Figures, which decides nothing. kong reads the arguments, in this program alone.

--- /dev/null
+++ b/cmd/chalklab/main.go
@@ -0,0 +1,84 @@
+// Command chalklab is the laboratory: it plays what happens to a fleet of agents, and
+// prints what came of it.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kong"
+
+	"clayproxy.example/clayproxy/internal/lab/fleet"
+)
+
+type cli struct {
+	Fleet fleetCmd `cmd:"" help:"Play a whole fleet in simulated time: the decision module of every agent against modelled servers."`
+}
+
+type fleetCmd struct {
+	Scenario []string `arg:"" optional:"" help:"What goes wrong: ${scenarios}. All if none is named."`
+	Seeds    uint64   `default:"3" help:"Plays of each, with the seeds from 1."`
+	Agents   int      `default:"300" help:"Agents; the load grows with them."`
+	Servers  int      `default:"170" help:"Report servers."`
+	Load     float64  `default:"1" help:"Times the usual load of an agent."`
+	Seconds  bool     `help:"Also print every second of each play."`
+}
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("chalklab"), kong.Description("The laboratory of chalkdoor."),
+		kong.Vars{"scenarios": strings.Join(fleet.Scenarios(), ", ")}, kong.UsageOnError(),
+		kong.Exit(func(code int) {
+			if code == 80 { // kong's own for what it cannot parse
+				code = 2
+			}
+			os.Exit(code)
+		}), kong.BindTo(os.Stdout, (*io.Writer)(nil)))
+	ctx.FatalIfErrorf(ctx.Run())
+}
+
+// Run plays and prints one line for each play.
+func (f *fleetCmd) Run(out io.Writer) error {
+	names := f.Scenario
+	if len(names) == 0 {
+		names = fleet.Scenarios()
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "scenario\tseed\tnet\tworth\tserved\tlate\trefused\tfailed\ttime-outs\tcross\thandshakes\tprobes\twarm\tpressed\tlost\ttwice\ttoppled\t")
+	for _, name := range names {
+		for seed := uint64(1); seed <= f.Seeds; seed++ {
+			cfg := fleet.Site(seed, name)
+			cfg.Rate *= f.Load * float64(f.Agents) / float64(cfg.Agents)
+			cfg.Agents, cfg.Servers = f.Agents, f.Servers
+			r, err := fleet.Run(cfg)
+			if err != nil {
+				return err
+			}
+			n := float64(max(r.Asked, 1))
+			part := func(x int) float64 { return float64(x) / n }
+			fmt.Fprintf(w, "%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.3f\t%.3f\t%.2f\t%.2f\t%d\t%d\t%d\t\n", name, seed,
+				r.Net(&cfg.Settings.Prices), r.Earned/r.Worth, part(r.Served), part(r.Late), part(r.Refused), part(r.Failed),
+				part(r.Timeouts), part(r.Cross), part(r.Handshakes), part(r.Probes), r.WarmShare, r.Pressed, r.Lost, r.Twice, r.Toppled)
+			if f.Seconds {
+				if err := w.Flush(); err != nil {
+					return err
+				}
+				seconds(out, r)
+			}
+		}
+	}
+	return w.Flush()
+}
+
+// seconds prints a play second by second: what came of the requests, what agents believed
+// on the mean, and what the servers bore.
+func seconds(out io.Writer, r *fleet.Result) {
+	for i, s := range r.Seconds {
+		fmt.Fprintf(out, "%4d s  asked %d served %d late %d refused %d failed %d  handshakes %d  shed %.2f admission %.2f demand %.0f of %.0f held %d  util warm %.2f cold %.2f choked %d\n",
+			i, s.Asked, s.Served, s.Late, s.Refused, s.Failed, s.Handshakes, s.Agents.Shed, s.Agents.Admission,
+			s.Agents.Demand, s.Agents.Capacity, s.Agents.Held, s.WarmUtil, s.ColdUtil, s.Choked)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -431,3 +431,20 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// Figures is what a Balancer believes of the fleet, for reports: nothing decides by it.
+type Figures struct {
+	Shed      float64 // part of the requests refused for being served late
+	Admission float64 // part of them that there is room for
+	Demand    float64 // load were nothing refused, and
+	Capacity  float64 // what the listed servers can do, in warm servers of weight one
+	Held      int     // requests that wait for room
+	Ill, Cold int     // servers
+}
+
+// Figures tells what it believes at its last event.
+func (b *Balancer) Figures() Figures {
+	b.survey()
+	return Figures{Shed: b.shed(), Admission: b.admission(), Demand: b.demand, Capacity: b.capacity(),
+		Held: len(b.held), Ill: len(b.ill), Cold: len(b.cold)}
+}
