Drop a request whose client connection was closed first, and close none under a request

Checked: the module sends a single_shot again only after an ending that proves it never ran (property tests, guards of the loop); a write that fails part way sends no last byte; a withdrawn attempt is told as cancelled. Ruled out so. Left was the client's side: at SIGTERM net/http closes idle connections (SetKeepAlivesEnabled in front.shutdown), and counts one as idle until it has read the next request's whole head; track in conns.go closes idle ones likewise. ServeHTTP then took a request of a connection that had ended, sent it on, and the client, as the protocol has it, sent the same once more.

Change: clientSock: a request is dropped before it is sent on when its connection was closed first, and a close waits for the answer of a request that was taken. Shutdown waits for those.

--- /dev/null
+++ b/internal/agent/clientsock.go
@@ -0,0 +1,92 @@
+package agent
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// clientSock is a client's connection that is not closed under a request.
+//
+// net/http counts a connection as idle until it has read the whole head of the next
+// request, and so does whoever makes room: what closes idle connections may meet one of
+// which the head is read already. The request would go on to a backend, and its client,
+// which sees the connection end without an answer, would send it once more: an effect
+// twice. So a request is either dropped here before it is sent on, when the connection was
+// closed first, or the close waits for its answer.
+type clientSock struct {
+	net.Conn
+	held *atomic.Int64 // connections that a request keeps open, of all
+
+	mu     sync.Mutex
+	active bool // a request of it is with the loop
+	asked  bool // to close, while one was
+	closed bool
+}
+
+// begin tells whether the connection is still open, and keeps it so until end.
+func (c *clientSock) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.active = true
+	c.held.Add(1)
+	return true
+}
+
+// end lets it close again. One that was to be closed meanwhile is closed by the server,
+// when it has written the answer.
+func (c *clientSock) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active = false
+	if !c.asked {
+		c.held.Add(-1)
+	}
+}
+
+// closing tells whether the connection was to be closed while a request was open on it.
+func (c *clientSock) closing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked
+}
+
+// Close closes the connection, or has it closed once its request is answered.
+func (c *clientSock) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active {
+		c.asked = true
+		return nil
+	}
+	if c.asked && !c.closed {
+		c.held.Add(-1)
+	}
+	c.closed = true
+	return c.Conn.Close()
+}
+
+// CloseWrite is what net/http uses to let a last answer arrive before a reset.
+func (c *clientSock) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// clientListener accepts clientSocks.
+type clientListener struct {
+	net.Listener
+	held *atomic.Int64
+}
+
+func (l *clientListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &clientSock{Conn: c, held: l.held}, nil
+}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -34,6 +34,7 @@
 	tenants map[string]int
 	ready   atomic.Bool
 	conns   *clientConns
+	held    atomic.Int64 // connections that a request keeps open
 }
 
 func newFront(cfg *Config) *front {
@@ -63,7 +64,7 @@
 
 // serve accepts clients until the server is shut down.
 func (f *front) serve(ln net.Listener) error {
-	if err := f.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := f.server.Serve(&clientListener{Listener: ln, held: &f.held}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("front: %w", err)
 	}
 	return nil
@@ -86,6 +87,10 @@
 	for every := time.NewTicker(20 * time.Millisecond); ; {
 		select {
 		case err := <-done:
+			// The server no longer counts a connection that it closed under a request.
+			for ctx.Err() == nil && f.held.Load() > 0 {
+				<-every.C
+			}
 			every.Stop()
 			return err
 		case <-every.C:
@@ -122,11 +127,21 @@
 		reject(w, err)
 		return
 	}
+	sock, ok := req.Context().Value(connKey{}).(*clientSock)
+	if ok {
+		if !sock.begin() {
+			return // its client sends it again, as nothing here has
+		}
+		defer sock.end()
+	}
 	f.conns.taken(req.Context())
 	took := make(chan *request, 1)
 	f.loop.post(func() { took <- f.loop.take(c) })
 	select {
 	case a := <-c.answer:
+		if ok && sock.closing() {
+			w.Header().Set("Connection", "close")
+		}
 		f.write(w, a)
 		f.loop.budget.Release(a.held)
 	case <-req.Context().Done():
