Name the program chalkdoor, its module path chalkdoor.example/chalkdoor

Need: the program is to be found, built and read under its own name; the former operators' names are of no use to who runs it.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"clayproxy.example/clayproxy/internal/wire"
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/internal/wire"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 func main() {
--- a/cmd/ringtrack/main.go
+++ b/cmd/chalkdoor/main.go
@@ -1,4 +1,4 @@
-// Command ringtrack is one agent: it takes requests from the application beside
+// Command chalkdoor is one agent: it takes requests from the application beside
 // it and places them on backends, as the decision module says.
 package main
 
@@ -14,12 +14,12 @@
 	"runtime/debug"
 	"syscall"
 
-	"clayproxy.example/clayproxy/internal/agent"
+	"chalkdoor.example/chalkdoor/internal/agent"
 )
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "ringtrack:", err)
+		fmt.Fprintln(os.Stderr, "chalkdoor:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/ringtrack/main_test.go
+++ b/cmd/chalkdoor/main_test.go
@@ -23,7 +23,7 @@
 
 // The test binary is the program itself when it is started with this variable.
 func TestMain(m *testing.M) {
-	if os.Getenv("RINGTRACK_AS_PROGRAM") == "1" {
+	if os.Getenv("CHALKDOOR_AS_PROGRAM") == "1" {
 		main()
 		os.Exit(0)
 	}
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "RINGTRACK_AS_PROGRAM=1", "PROXY_CONFIG="+path,
+	cmd.Env = append(os.Environ(), "CHALKDOOR_AS_PROGRAM=1", "PROXY_CONFIG="+path,
 		"PROXY_NAME=", "PROXY_LISTEN=", "PROXY_DISCOVERY=")
 	return cmd
 }
--- a/cmd/chalklab/main.go
+++ b/cmd/chalklab/main.go
@@ -11,7 +11,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"clayproxy.example/clayproxy/internal/lab/fleet"
+	"chalkdoor.example/chalkdoor/internal/lab/fleet"
 )
 
 type cli struct {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -17,7 +17,7 @@
 
 	"golang.org/x/time/rate"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // one starts an agent in front of one backend with the given script.
--- a/internal/agent/answer_test.go
+++ b/internal/agent/answer_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // Spoilt answers: the request may have run, so an unsafe one fails and goes nowhere
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -14,7 +14,7 @@
 
 	"golang.org/x/sync/semaphore"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // backend is one listed server. Its fields belong to the loop, but for closed.
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -8,8 +8,8 @@
 	"os"
 	"strconv"
 
-	"clayproxy.example/clayproxy/internal/wire"
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/internal/wire"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // Config is what the platform tells one agent, validated.
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/time/rate"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // List is discovery's answer: the whole list or what changed.
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 const (
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // pool keeps idle connections to backends and bounds all there are. http.Transport
--- a/internal/agent/pool_test.go
+++ b/internal/agent/pool_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // A kept connection is used for most of the keepalive, and never so late that the request
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // maxProbes bounds the probes under way, whatever the module asks for: each may take a
--- a/internal/agent/probe_test.go
+++ b/internal/agent/probe_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // probing lets the agent probe, and get load reports from probes alone.
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 const (
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -13,8 +13,8 @@
 	"math"
 	"math/rand/v2"
 
-	"clayproxy.example/clayproxy/internal/lab/model"
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/internal/lab/model"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // Config is one play. Times are in milliseconds, rates a second.
--- a/internal/lab/fleet/scenes.go
+++ b/internal/lab/fleet/scenes.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
-	"clayproxy.example/clayproxy/internal/lab/model"
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/internal/lab/model"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // scenes schedule what goes wrong, within the first 20 s of a play.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"io"
 	"math"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // Record sizes of the wire.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"clayproxy.example/clayproxy/policy"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // frame builds a batch from hex text; blanks and newlines are for the reader.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -879,7 +879,7 @@
 	}
 }
 
-// bogota-turnos big-2: 3.5 probes a request, as a crowded server turns probes away too
+// Seen on a busy day elsewhere: 3.5 probes a request, as a crowded server turns probes away too
 // and each request sent the next.
 func TestProbesAreFewerThanRequests(t *testing.T) {
 	set := testSettings()
@@ -908,7 +908,7 @@
 	}
 }
 
-// bogota-turnos, nairobi-runner: crowded servers work for clients that have left, and
+// Seen at other deployments: crowded servers work for clients that have left, and
 // each refusal brings a retry. Errors are no crowd, nor is what finds no room here.
 func TestLateServersAreRelieved(t *testing.T) {
 	for _, c := range []struct {
@@ -936,7 +936,7 @@
 	}
 }
 
-// nairobi-runner big-1: an agent that meets a server twice a minute cannot follow its
+// Seen on a busy day: an agent that meets a server twice a minute cannot follow its
 // crowd by window. One that was full, late or reports far more than the mean is passed
 // over for about a turn, and where most of the tier would be, none is.
 func TestCrowdedServerMissesATurn(t *testing.T) {
@@ -1022,7 +1022,7 @@
 	}
 }
 
-// nairobi-runner: crossing has a price, but one hall has more traffic than its servers
+// Seen at another deployment: crossing has a price, but one hall has more traffic than its servers
 // carry. A fixed weight by the price gained on some days and lost on others.
 func TestOwnZoneWeighsMoreWhileItServesInTime(t *testing.T) {
 	weight := func(price, rtt float64) float64 {
