--- a/policy/state.go
+++ b/policy/state.go
@@ -9,7 +9,7 @@
 )
 
 // This file holds what a Balancer remembers and plain arithmetic on it; the
-// decisions are in policy.go.
+// decisions are in the files that policy.go names.
 
 // server is what the agent knows of one listed server.
 type server struct {
--- a/policy/types.go
+++ b/policy/types.go
@@ -3,7 +3,7 @@
 // and when to give up. It is a state machine without I/O: the caller hands in
 // events with a clock and carries out the actions that come back, in order.
 //
-// All decisions are in policy.go; this file holds the interface only.
+// The decisions are in the files that policy.go names; this file holds the interface only.
 package policy
 
 // Addr names a server: four bytes of address and a port. It has no meaning
