--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -185,3 +185,30 @@
 		}
 	}
 }
+
+// join+mass: clients that came again and again for what was refused were let in at last, each
+// of them, and their refusals were taken for requests served late.
+func TestPushyClientsAreNotLetInByComingAgain(t *testing.T) {
+	r := newRig(t, testSettings(), 10)
+	r.b.demand, r.b.admitted = 2*r.b.capacity(), 1 // room for less than half
+	in, before := 0, r.b.tried
+	for client := range uint64(300) {
+		for try := range 8 {
+			r.now++
+			r.id++
+			id := r.id
+			ev := Event{Kind: EvRequest, Request: id, Class: 0, Key: 1 + client, LeftMs: 600, Retry: try > 0}
+			if a := find(r.do(ev), ActSend); a != nil {
+				in++
+				r.outcome(id, 0, a.Server, Cancelled, 1)
+				break
+			}
+		}
+	}
+	if in > 250 || in < 150 { // with luck drawn anew for each of eight tries nearly all
+		t.Errorf("%d of 300 clients were let in by coming again, want as many as two tries let in", in)
+	}
+	if r.b.shed() > 0 || before == 0 {
+		t.Errorf("refusals for want of room were taken for a crowd: shed %.2f", r.b.shed())
+	}
+}
