Give the program a command line, an operations file, changeable logs and metrics

Need: an operator could neither ask the program anything nor change its log without a restart, and nothing told from outside what an agent holds or how near it came to breaking a rule.

SIGHUP reads it again, takes over format and level of the log, and names what needs a restart; a bad file leaves the old one in force. internal/metrics counts answers, attempts, cold attempts and what the loop's guards stopped, by rule, and shows the tiers, admission, pool and list at a scrape of /-/metrics, off by default. The agent tells an Observer; without one nothing is counted. Guard and backstop log lines carry the request's id.

--- /dev/null
+++ b/cmd/chalkdoor/serve.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"chalkdoor.example/chalkdoor/internal/agent"
+	"chalkdoor.example/chalkdoor/internal/logs"
+	"chalkdoor.example/chalkdoor/internal/metrics"
+	"chalkdoor.example/chalkdoor/internal/ops"
+)
+
+// serve runs the agent until SIGTERM, with the operations file if one is named.
+func serve(opsPath string) error {
+	// From the first moment on: its default is to end the program.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	log := logs.New(os.Stderr)
+	slog.SetDefault(slog.New(log))
+	file := ops.Default()
+	if opsPath != "" {
+		var err error
+		if file, err = ops.Load(opsPath); err != nil {
+			return err
+		}
+		if err = log.Set(file.Log); err != nil {
+			return err
+		}
+	}
+	getenv := file.Getenv(os.Getenv)
+	cfg, err := agent.LoadConfig(getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
+	// The heap is small: to collect at twice its size costs little, and keeps what the
+	// agent holds even. Long before the memory limit, over which it would be killed,
+	// collecting goes before all.
+	debug.SetGCPercent(100)
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	slog.Info("listening", "name", cfg.Name, "addr", ln.Addr().String())
+	opt := agent.Options{Reread: reload, Read: func() (*agent.Config, error) { return agent.ReloadConfig(getenv) }}
+	if opsPath != "" {
+		ctx, end := context.WithCancel(context.Background())
+		defer end()
+		if file.Metrics.Address != "" {
+			m, err := serveMetrics(ctx, cfg.Name, &file)
+			if err != nil {
+				return err
+			}
+			opt.Observer = m
+		}
+		again := make(chan os.Signal, 1)
+		signal.Notify(again, syscall.SIGHUP)
+		go rereadOps(ctx, again, opsPath, file, log)
+	}
+	return agent.Run(stop, cfg, ln, opt)
+}
+
+// serveMetrics opens the operations address and serves figures there until ctx is done.
+func serveMetrics(ctx context.Context, name string, file *ops.File) (*metrics.Metrics, error) {
+	ln, err := net.Listen("tcp", file.Metrics.Address)
+	if err != nil {
+		return nil, fmt.Errorf("metrics.address: %w", err)
+	}
+	slog.Info("serving metrics", "addr", ln.Addr().String())
+	m := metrics.New(name, file.Metrics.Runtime)
+	go func() {
+		if err := m.Serve(ctx, ln); err != nil {
+			slog.Error("no metrics any more", "err", err)
+		}
+	}()
+	return m, nil
+}
+
+// rereadOps takes over from the operations file, at each signal, what can change, and names
+// what needs a restart. A file that can't be used leaves all as it is.
+func rereadOps(ctx context.Context, signals <-chan os.Signal, path string, old ops.File, log *logs.Handler) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		file, err := ops.Load(path)
+		if err == nil {
+			err = log.Set(file.Log)
+		}
+		if err != nil {
+			slog.Warn("operations file not used, the old one holds", "err", err)
+			continue
+		}
+		// Against what the process started with: that is what is in force.
+		if keys := ops.NeedRestart(&old, &file); len(keys) > 0 {
+			slog.Warn("changed in the operations file, but used only after a restart", "keys", strings.Join(keys, " "))
+		}
+		slog.Info("operations file read again", "file", path, "level", file.Log.Level, "format", file.Log.Format)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,16 +5,21 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"time"
 )
 
 // Run serves until stop is done, then ends in order. It returns nil when every
-// request that was held has been answered. At each signal of reread it takes over
-// what can change without a restart from the configuration that read returns.
-func Run(stop context.Context, reread <-chan os.Signal, read func() (*Config, error), cfg *Config, ln net.Listener) error {
+// request that was held has been answered. At each signal of opt.Reread it takes over
+// what can change without a restart from the configuration that opt.Read returns.
+func Run(stop context.Context, cfg *Config, ln net.Listener, opt Options) error {
 	return run(stop, cfg, ln, func(l *loop) {
-		go reload(stop, reread, read, cfg, func(discovery string) { l.post(func() { l.rediscover(discovery) }) })
+		if opt.Observer != nil {
+			l.observer = opt.Observer
+			l.observer.Serving(l.stats)
+		}
+		if opt.Reread != nil {
+			go reload(stop, opt.Reread, opt.Read, cfg, func(discovery string) { l.post(func() { l.rediscover(discovery) }) })
+		}
 	})
 }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -339,7 +339,7 @@
 		{"no time", request{}, up(), now, false},
 	} {
 		test.r.call = &call{class: 2}
-		if why := l.forbidden(&test.r, test.b, now, test.until); (why == "") != test.want {
+		if _, why := l.forbidden(&test.r, test.b, now, test.until); (why == "") != test.want {
 			t.Errorf("%s: %q", test.name, why)
 		}
 	}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -19,12 +19,13 @@
 
 // backend is one listed server. Its fields belong to the loop, but for closed.
 type backend struct {
-	id     string
-	name   policy.Addr // what the module calls it
-	addr   string      // where it listens, as told to this agent last
-	gone   bool
-	out    int         // attempts out
-	closed atomic.Bool // told to drain or gone: read by attempts just before they write
+	id        string
+	name      policy.Addr // what the module calls it
+	addr      string      // where it listens, as told to this agent last
+	gone      bool
+	out       int         // attempts out
+	startedMs float64     // as listed
+	closed    atomic.Bool // told to drain or gone: read by attempts just before they write
 }
 
 // result is how one attempt ended.
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -273,6 +273,7 @@
 		}
 		b := t.backend(s.ID)
 		e.Server = b.name
+		b.startedMs = s.StartedMs
 		if s.Addr != "" && b.addr != s.Addr {
 			stale = append(stale, b)
 			b.addr = s.Addr
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -58,6 +58,7 @@
 	probes   int // under way
 	ready    func()
 	figures  figures
+	observer Observer
 }
 
 // figures are counted for the log at the end.
@@ -73,6 +74,8 @@
 	failed
 )
 
+func (v verdict) String() string { return [...]string{"served", "refused", "failed"}[v] }
+
 // answer is the one final answer to a call.
 type answer struct {
 	verdict verdict
@@ -109,7 +112,7 @@
 	l := &loop{cfg: cfg, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
 		budget: semaphore.NewWeighted(cfg.budget()), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		started: now, baseMs: float64(now.UnixMicro()) / 1000,
-		requests: map[policy.RequestID]*request{}, ids: map[string]*request{}, ready: ready}
+		requests: map[policy.RequestID]*request{}, ids: map[string]*request{}, ready: ready, observer: deaf{}}
 	l.sender = newSender(cfg, l.budget)
 	l.discover(cfg.Discovery)
 	return l, nil
@@ -280,7 +283,8 @@
 		return
 	}
 	l.figures.backstops++
-	l.log(slog.LevelWarn, "backstop ended a request", "attempts", len(r.attempts), "out", r.out,
+	l.observer.Guarded(1, "ended by the backstop")
+	l.log(slog.LevelWarn, "backstop ended a request", "request", r.call.id, "attempts", len(r.attempts), "out", r.out,
 		"late_ms", float64(time.Since(r.call.deadline.Add(-backstopMargin)).Microseconds())/1000)
 	l.finish(r, answer{verdict: failed, status: http.StatusGatewayTimeout})
 	l.abandon(r)
@@ -316,7 +320,7 @@
 func (l *loop) refuse(r *request, afterMs float64) {
 	c := &l.cfg.Settings.Classes[r.call.class]
 	if r.mayRun > 0 && (c.Effect == policy.SingleShot || c.Effect == policy.Guarded && c.Group != policy.GroupAll) {
-		l.guard("refusal after an attempt that may have run")
+		l.guard(2, "refusal after an attempt that may have run", r)
 		l.finish(r, answer{verdict: failed})
 		return
 	}
@@ -336,6 +340,8 @@
 	case failed:
 		l.figures.failed++
 	}
+	left := time.Until(r.call.deadline)
+	l.observer.Answered(l.cfg.Settings.Classes[r.call.class].Name, a.verdict.String(), r.call.given-left, left, len(r.attempts))
 	r.call.answer <- a
 	l.close(r)
 }
@@ -366,7 +372,7 @@
 	r := l.requests[a.Request]
 	if r == nil {
 		// The request is over and forgotten: nothing can be sent, or counted.
-		l.guard("attempt for a request that is over")
+		l.guard(1, "attempt for a request that is over", nil)
 		return
 	}
 	index := len(r.attempts)
@@ -378,13 +384,16 @@
 	if a.Ms != 0 {
 		until = earliest(until, now.Add(ms(a.Ms)))
 	}
-	if why := l.forbidden(r, b, now, until); why != "" {
-		l.guard(why)
+	if rule, why := l.forbidden(r, b, now, until); why != "" {
+		l.guard(rule, why, r)
 		t.done = true
 		l.pending = append(l.pending, policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: index,
 			Server: a.Server, Status: policy.Moot, Final: r.answered})
 		return
 	}
+	if age := l.now() - b.startedMs; b.startedMs > 0 && age < l.cfg.Settings.Contract.ColdMs {
+		l.observer.SentCold()
+	}
 	r.out++
 	r.mayRun++
 	b.out++
@@ -398,26 +407,27 @@
 	}()
 }
 
-// forbidden guards the contract whatever the module says; "" allows the attempt.
-func (l *loop) forbidden(r *request, b *backend, now, until time.Time) string {
+// forbidden guards the contract whatever the module says: it tells which rule an attempt
+// would break, and how; "" allows it.
+func (l *loop) forbidden(r *request, b *backend, now, until time.Time) (rule int, why string) {
 	c := &l.cfg.Settings.Classes[r.call.class]
 	switch {
 	case r.answered:
-		return "attempt for a request that is over"
+		return 1, "attempt for a request that is over"
 	case b == nil || b.addr == "":
-		return "attempt to a backend that is not listed"
+		return 3, "attempt to a backend that is not listed"
 	case b.closed.Load():
-		return "attempt to a backend that drains or is gone"
+		return 3, "attempt to a backend that drains or is gone"
 	case r.out > 0:
-		return "second attempt while one is out"
+		return 2, "second attempt while one is out"
 	case len(r.attempts) > l.cfg.Settings.Limits.MaxAttempts:
-		return "more attempts than allowed"
+		return 2, "more attempts than allowed"
 	case r.mayRun > 0 && c.Effect == policy.SingleShot:
-		return "repeat of an unsafe request that may have run"
+		return 2, "repeat of an unsafe request that may have run"
 	case !until.After(now):
-		return "attempt without time"
+		return 1, "attempt without time"
 	}
-	return ""
+	return 0, ""
 }
 
 // ended takes the end of an attempt.
@@ -426,6 +436,7 @@
 	t.done = true
 	t.backend.out--
 	r.out--
+	l.observer.Attempted(res.status, ms(res.latencyMs))
 	if res.status.NeverRan() {
 		r.mayRun--
 	}
@@ -515,9 +526,15 @@
 
 // ---- the log ----
 
-func (l *loop) guard(what string) {
+// guard notes that the loop stopped what would have broken a rule; r may be nil.
+func (l *loop) guard(rule int, what string, r *request) {
 	l.figures.guarded++
-	l.log(slog.LevelError, "guard: "+what)
+	l.observer.Guarded(rule, what)
+	id := ""
+	if r != nil {
+		id = r.call.id
+	}
+	l.log(slog.LevelError, "guard: "+what, "rule", rule, "request", id)
 }
 
 func (l *loop) log(level slog.Level, text string, args ...any) {
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -43,6 +43,7 @@
 	hintMs   float64
 	hasHint  bool
 	retry    bool
+	given    time.Duration // that the client waits
 	deadline time.Time
 	answer   chan answer // of capacity one: the loop never waits for a client
 }
@@ -117,7 +118,8 @@
 	if err != nil || left == 0 || left > maxTimeout {
 		return refuse("Request-Timeout-Ms is no whole number from 1 to %d", maxTimeout)
 	}
-	c.deadline = now.Add(time.Duration(left) * time.Millisecond)
+	c.given = time.Duration(left) * time.Millisecond
+	c.deadline = now.Add(c.given)
 	if text := h.Get("Work-Hint"); text != "" {
 		us, err := strconv.ParseFloat(text, 64)
 		if c.hasHint = err == nil && us > 0 && us < 1e12; c.hasHint { // a guess: a bad one is none
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,152 @@
+// Package metrics serves what one agent does and holds to a monitoring system, in the text
+// form of Prometheus. It observes only: an agent without it decides the same.
+package metrics
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"chalkdoor.example/chalkdoor/internal/agent"
+	"chalkdoor.example/chalkdoor/policy"
+)
+
+const (
+	// Path is where figures are served.
+	Path = "/-/metrics"
+	// readTime bounds what the agent's loop may take to tell its state: a scrape never
+	// waits longer, and then lacks the state.
+	readTime = time.Second
+	// headTime bounds how long a scraper may take to ask, and answerTime to be answered.
+	headTime, answerTime = 2 * time.Second, 10 * time.Second
+	// maxScrapes bounds the scrapes at once.
+	maxScrapes = 4
+)
+
+// buckets are those of times in seconds: from a hop on loopback to the longest deadline.
+var buckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10}
+
+// Metrics is an agent.Observer that counts. It is safe for concurrent use.
+type Metrics struct {
+	registry *prometheus.Registry
+	answers  *prometheus.CounterVec   // class, verdict
+	latency  *prometheus.HistogramVec // class, verdict
+	left     prometheus.Observer
+	tries    prometheus.Observer
+	attempts *prometheus.CounterVec // outcome
+	backend  *prometheus.HistogramVec
+	cold     prometheus.Counter
+	guarded  *prometheus.CounterVec // rule, what
+	state    *state
+}
+
+var _ agent.Observer = (*Metrics)(nil)
+
+// New returns metrics of an agent by its name. With runtime they hold those of the Go
+// runtime and of the process, too.
+func New(name string, runtime bool) *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry()}
+	reg := prometheus.WrapRegistererWith(prometheus.Labels{"agent": name}, m.registry)
+	counter := func(n, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chalkdoor_" + n, Help: help}, labels)
+		reg.MustRegister(c)
+		return c
+	}
+	histogram := func(n, help string, b []float64, labels ...string) *prometheus.HistogramVec {
+		h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "chalkdoor_" + n, Help: help, Buckets: b}, labels)
+		reg.MustRegister(h)
+		return h
+	}
+	m.answers = counter("answers_total", "Final answers to the client.", "class", "verdict")
+	m.latency = histogram("answer_seconds", "Time from a request's head to its final answer.", buckets, "class", "verdict")
+	m.left = histogram("answer_left_seconds", "Time that was left to the client's deadline at the final answer (rule 1).",
+		append([]float64{0}, buckets...)).WithLabelValues()
+	m.tries = histogram("request_attempts", "Attempts of a request by its final answer.", []float64{0, 1, 2, 3, 5}).WithLabelValues()
+	m.attempts = counter("attempts_total", "Attempts at report servers by their outcome.", "outcome")
+	m.backend = histogram("attempt_seconds", "Time of an attempt by its outcome.", buckets, "outcome")
+	m.cold = counter("cold_attempts_total", "Attempts at servers that are not yet warm by the list (rule 4).").WithLabelValues()
+	m.guarded = counter("guarded_total", "What would have broken one of the four rules and was stopped.", "rule", "what")
+	m.state = newState()
+	reg.MustRegister(m.state)
+	if runtime {
+		reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	}
+	return m
+}
+
+// Serving is of agent.Observer.
+func (m *Metrics) Serving(read func(context.Context) (agent.Stats, error)) { m.state.read.Store(&read) }
+
+// Answered is of agent.Observer.
+func (m *Metrics) Answered(class, verdict string, took, left time.Duration, attempts int) {
+	m.answers.WithLabelValues(class, verdict).Inc()
+	m.latency.WithLabelValues(class, verdict).Observe(took.Seconds())
+	m.left.Observe(left.Seconds())
+	m.tries.Observe(float64(attempts))
+}
+
+// Attempted is of agent.Observer.
+func (m *Metrics) Attempted(s policy.Status, took time.Duration) {
+	m.attempts.WithLabelValues(outcome(s)).Inc()
+	m.backend.WithLabelValues(outcome(s)).Observe(took.Seconds())
+}
+
+// SentCold is of agent.Observer.
+func (m *Metrics) SentCold() { m.cold.Inc() }
+
+// Guarded is of agent.Observer.
+func (m *Metrics) Guarded(rule int, what string) {
+	m.guarded.WithLabelValues(strconv.Itoa(rule), what).Inc()
+}
+
+func outcome(s policy.Status) string {
+	switch s {
+	case policy.OK:
+		return "ok"
+	case policy.Error:
+		return "error"
+	case policy.Full:
+		return "full"
+	case policy.Timeout:
+		return "timeout"
+	case policy.ConnectFailed:
+		return "connect_failed"
+	case policy.Reset:
+		return "reset"
+	case policy.Cancelled:
+		return "cancelled"
+	case policy.Moot:
+		return "moot"
+	}
+	return strconv.Itoa(int(s))
+}
+
+// Handler serves the figures at Path.
+func (m *Metrics) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+Path, promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{
+		MaxRequestsInFlight: maxScrapes, Timeout: answerTime, ErrorHandling: promhttp.ContinueOnError,
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)}))
+	return mux
+}
+
+// Serve serves the figures on a listener until ctx is done.
+func (m *Metrics) Serve(ctx context.Context, ln net.Listener) error {
+	server := &http.Server{Handler: m.Handler(), ReadHeaderTimeout: headTime, WriteTimeout: answerTime + headTime,
+		IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10,
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)}
+	defer context.AfterFunc(ctx, func() { server.Close() })()
+	if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ops/ops_test.go
@@ -0,0 +1,91 @@
+package ops
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func TestExampleIsTheDefault(t *testing.T) {
+	var text strings.Builder
+	if err := Example(&text); err != nil {
+		t.Fatal(err)
+	}
+	f, err := Parse("example", text.String())
+	if err != nil || f != Default() {
+		t.Errorf("the example reads as %+v, %v, want %+v", f, err, Default())
+	}
+	for _, key := range Keys() {
+		if _, name, _ := strings.Cut(key, "."); !strings.Contains(text.String(), "\n"+name+" = ") {
+			t.Errorf("the example leaves out %s", key)
+		}
+	}
+}
+
+func TestErrorsNameFileKeyAndWhatWasExpected(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"[log]\nlevle = \"info\"", `f.toml: log.levle: unknown key, did you mean log.level?`},
+		{"[zoo]\nx = 1", "f.toml: zoo.x: unknown key"},
+		{"[log]\nlevel = \"loud\"", `f.toml: log.level: "loud" is none of debug, info, warn, error`},
+		{"[log]\n\nlevel = 3", "f.toml:3: log.level: "},
+		{"[metrics]\naddress = \"here\"", `f.toml: metrics.address: "here" is no host:port`},
+		{"[agent]\nlisten = \"127.0.0.1:0\"", `f.toml: agent.listen: "127.0.0.1:0" is no host:port`},
+		{"[agent]\ndiscovery = \"127.0.0.1:70000\"", `f.toml: agent.discovery: "127.0.0.1:70000" is no host:port`},
+		{"[log\n", "f.toml:2: "},
+		{"[log]\nlevel = \"info\"\nlevel = \"warn\"", "f.toml:3: log.level: "},
+	} {
+		_, err := Parse("f.toml", c.text)
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%q: %v, want %s", c.text, err, c.want)
+		}
+	}
+}
+
+func TestAllThatIsWrongIsToldAtOnce(t *testing.T) {
+	_, err := Parse("f", "[log]\nformat = \"xml\"\nlevel = \"loud\"\n[metrics]\nadress = \"127.0.0.1:1\"")
+	if err == nil || strings.Count(err.Error(), "\n") != 2 {
+		t.Errorf("%v, want three lines", err)
+	}
+}
+
+func TestLoadIsBounded(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "big.toml")
+	if err := os.WriteFile(path, []byte(strings.Repeat("#", maxFile+1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path); err == nil || !strings.Contains(err.Error(), "over") {
+		t.Errorf("%v, want that it is too long", err)
+	}
+	if _, err := Load(path + "x"); err == nil {
+		t.Error("a file that is not there was read")
+	}
+}
+
+func TestNeedRestart(t *testing.T) {
+	old, new := Default(), Default()
+	new.Log.Level, new.Agent.Listen, new.Metrics.Address = "debug", "127.0.0.1:9", "127.0.0.1:8"
+	if got, want := NeedRestart(&old, &new), []string{"agent.listen", "metrics.address"}; !reflect.DeepEqual(got, want) {
+		t.Errorf("%v need a restart, want %v", got, want)
+	}
+}
+
+func TestEnvironmentWins(t *testing.T) {
+	f := Default()
+	f.Agent.Name, f.Agent.Config = "from-file", "c.json"
+	get := f.Getenv(func(name string) string { return map[string]string{"PROXY_NAME": "from-env"}[name] })
+	if get("PROXY_NAME") != "from-env" || get("PROXY_CONFIG") != "c.json" || get("HOME") != "" {
+		t.Errorf("%q, %q, %q", get("PROXY_NAME"), get("PROXY_CONFIG"), get("HOME"))
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("[log]\nlevel = \"warn\"")
+	f.Add("[agent]\nx.y = {a = 1}")
+	f.Fuzz(func(t *testing.T, text string) {
+		if file, err := Parse("f", text); err == nil && len(file.validate()) > 0 {
+			t.Errorf("%q was taken, and is not valid", text)
+		}
+	})
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -462,11 +462,16 @@
 	Aperture  int     // servers that it keeps to
 	Held      int     // requests that wait for room
 	Ill, Cold int     // servers
+	States    [4]int  // servers in each state, in tier order
 }
 
 // Figures tells what it believes at its last event.
 func (b *Balancer) Figures() Figures {
 	b.survey()
-	return Figures{Shed: b.shed(), Admission: b.admission(), Demand: b.demand, Capacity: b.capacity(),
+	f := Figures{Shed: b.shed(), Admission: b.admission(), Demand: b.demand, Capacity: b.capacity(),
 		Aperture: len(b.near), Held: len(b.held), Ill: len(b.ill), Cold: len(b.cold)}
+	for _, s := range b.servers {
+		f.States[s.state]++
+	}
+	return f
 }
