--- a/internal/lab/fleet/scenes.go
+++ b/internal/lab/fleet/scenes.go
@@ -114,8 +114,9 @@
 // Scenarios names what can go wrong in a play.
 func Scenarios() []string { return slices.Sorted(maps.Keys(scenes)) }
 
-// Site is a play on the published figures of the deployment at the size of a full fleet.
-func Site(seed uint64, scenario string) Config {
+// Settings are the published figures of the deployment, as each agent is told them but for its
+// own number and zone.
+func Settings() policy.Settings {
 	set := policy.Settings{
 		Classes: []policy.Class{
 			{Name: "quick-check", AimMs: 480, GiveUpMs: 2370, Effect: policy.SingleShot, KeyTTLMs: 5000, Credit: 2},
@@ -131,12 +132,22 @@
 		Membership: "pushed", RoundMs: 1, Weights: "rough", WorthBy: "request",
 	}
 	set.Clients.MarksRetry, set.FamilyInfo.WarmKeys = true, true
+	return set
+}
+
+// Server is the published figures of a report server of speed one, cold for long.
+func Server() model.Config {
+	return model.Config{Cores: 2, Queue: 60, ColdFrom: 0.13, ColdMs: 24000, KeyTTLMs: 5000, KeySaving: 0.5,
+		KeyMost: 64, StallEveryMs: 3500, StallForMs: 200, ChokeQueue: 5, ChokeAfterMs: 2000, ChokeFactor: 2.6,
+		ChokeIdleMs: 3000, ChokeMostMs: 25000, TipMultiple: 4, TipMs: 1000}
+}
+
+// Site is a play on these figures at the size of a full fleet.
+func Site(seed uint64, scenario string) Config {
 	return Config{
 		Seed: seed, Scenario: scenario, Agents: 300, Servers: 170, Zones: 5, Rate: 4600, Spread: 0.7,
-		Keys: 640, KeySkew: 0.8, ForMs: 30000, Settings: set,
-		Server: model.Config{Cores: 2, Queue: 60, ColdFrom: 0.13, ColdMs: 24000, KeyTTLMs: 5000, KeySaving: 0.5,
-			KeyMost: 64, StallEveryMs: 3500, StallForMs: 200, ChokeQueue: 5, ChokeAfterMs: 2000, ChokeFactor: 2.6,
-			ChokeIdleMs: 3000, ChokeMostMs: 25000, TipMultiple: 4, TipMs: 1000},
+		Keys: 640, KeySkew: 0.8, ForMs: 30000, Settings: Settings(),
+		Server:    Server(),
 		SpeedFrom: 0.51, SpeedTo: 1.1, WorkMs: []float64{36, 62}, Share: []float64{0.6, 0.4}, HandshakeMs: 3,
 		NearMs: 0.25, FarMs: 2, ListMs: 500, IdleMs: 9375, RetryMs: 200,
 	}
--- /dev/null
+++ b/internal/lab/referee/referee_test.go
@@ -0,0 +1,97 @@
+package referee
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+var rules = Rules{AnswerSlack: 20 * ms, DrainGrace: 2 * time.Second, KeyWindow: 4 * time.Second, Slack: 50 * ms}
+
+func asked(id string, e Effect) Event {
+	return Event{At: 100 * ms, Kind: Asked, Agent: "n1", Request: id, Effect: e, Deadline: 1100 * ms}
+}
+
+func at(t time.Duration, k Kind, id string) Event {
+	return Event{At: t, Kind: k, Agent: "n1", Server: "s1", Request: id}
+}
+
+func answer(t time.Duration, id string, status int) Event {
+	return Event{At: t, Kind: Answered, Agent: "n1", Request: id, Status: status, Whole: true}
+}
+
+func ran(t time.Duration, id string, e Effect, key string) Event {
+	return Event{At: t, Kind: Ran, Server: "s1", Request: id, Effect: e, Key: key}
+}
+
+func told(t time.Duration, state string) Event {
+	return Event{At: t, Kind: Told, Agent: "n1", Server: "s1", State: state}
+}
+
+// Each rule is broken by a trace of its own, and kept by the one beside it that differs least.
+func TestRules(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		rule int // 0: kept
+		text string
+		seen []Event
+	}{
+		{"served", 0, "", []Event{asked("a", Once), at(110*ms, Attempted, "a"), at(111*ms, Arrived, "a"), ran(112*ms, "a", Once, ""), at(150*ms, Ended, "a"), answer(151*ms, "a", 200)}},
+		{"answered within the slack", 0, "", []Event{asked("a", Once), answer(1169*ms, "a", 504)}},
+		{"answered late", 1, "after the deadline", []Event{asked("a", Once), answer(1171*ms, "a", 504)}},
+		{"answered twice", 1, "more than one", []Event{asked("a", Once), answer(200*ms, "a", 503), answer(300*ms, "a", 200)}},
+		{"never answered", 1, "no final answer", []Event{asked("a", Once)}},
+		{"answered by nobody", 1, "no report server made", []Event{asked("a", Repeat), {At: 200 * ms, Kind: Answered, Request: "a", Status: 200}}},
+		{"dropped", 1, "ended with no answer", []Event{asked("a", Once), at(200*ms, Dropped, "a")}},
+		{"dropped by a killed agent", 0, "", []Event{asked("a", Once), {At: 150 * ms, Kind: Killed, Agent: "n1", Deadline: 180 * ms}, at(200*ms, Dropped, "a")}},
+		{"dropped as another agent was killed", 1, "ended with no answer", []Event{asked("a", Once), {At: 150 * ms, Kind: Killed, Agent: "n2", Deadline: 180 * ms}, at(200*ms, Dropped, "a")}},
+		{"dropped before its agent was killed", 1, "ended with no answer", []Event{asked("a", Once), at(140*ms, Dropped, "a"), {At: 150 * ms, Kind: Killed, Agent: "n1", Deadline: 180 * ms}}},
+		{"asked after its agent was back", 1, "ended with no answer", []Event{{At: 50 * ms, Kind: Killed, Agent: "n1", Deadline: 99 * ms}, asked("a", Once), at(140*ms, Dropped, "a")}},
+		{"answered late by an agent that was paused", 0, "", []Event{asked("a", Once), {At: 150 * ms, Kind: Killed, Agent: "n1", Deadline: 5000 * ms}, answer(5001*ms, "a", 504)}},
+		{"client left", 0, "", []Event{asked("a", Once), at(200*ms, Left, "a")}},
+		{"repeat of what may", 0, "", []Event{asked("a", Repeat), at(110*ms, Arrived, "a"), ran(111*ms, "a", Repeat, ""), at(130*ms, Ended, "a"), at(140*ms, Arrived, "a"), ran(141*ms, "a", Repeat, ""), answer(200*ms, "a", 200)}},
+		{"ran twice", 2, "ran twice", []Event{asked("a", Once), at(110*ms, Arrived, "a"), ran(111*ms, "a", Once, ""), at(130*ms, Ended, "a"), at(140*ms, Arrived, "a"), ran(141*ms, "a", Once, ""), answer(200*ms, "a", 200)}},
+		{"refused though it ran", 2, "refused though", []Event{asked("a", Once), at(110*ms, Arrived, "a"), ran(111*ms, "a", Once, ""), at(130*ms, Ended, "a"), answer(200*ms, "a", 503)}},
+		{"refused unsent", 0, "", []Event{asked("a", Once), at(110*ms, Attempted, "a"), answer(200*ms, "a", 503)}},
+		{"two copies at once", 2, "second copy", []Event{asked("a", Repeat), at(110*ms, Arrived, "a"), at(120*ms, Arrived, "a"), answer(200*ms, "a", 200)}},
+		{"key within its window", 0, "", []Event{asked("a", Keyed), ran(200*ms, "a", Keyed, "k"), ran(4200*ms, "a", Keyed, "k"), answer(900*ms, "a", 200)}},
+		{"key past its window", 2, "past the window", []Event{asked("a", Keyed), ran(200*ms, "a", Keyed, "k"), ran(4300*ms, "a", Keyed, "k"), answer(900*ms, "a", 200)}},
+		{"sent within the grace", 0, "", []Event{told(50*ms, "draining"), asked("a", Once), at(2100*ms, Attempted, "a"), answer(900*ms, "a", 200)}},
+		{"sent after the grace", 3, "told as draining", []Event{told(50*ms, "draining"), asked("a", Once), at(2101*ms, Attempted, "a"), answer(900*ms, "a", 200)}},
+		{"told twice counts from the first", 3, "told as draining", []Event{told(50*ms, "draining"), told(1000*ms, "removed"), asked("a", Once), at(2101*ms, Attempted, "a"), answer(900*ms, "a", 200)}},
+		{"back up", 0, "", []Event{told(50*ms, "draining"), told(1000*ms, "up"), asked("a", Once), at(2101*ms, Attempted, "a"), answer(900*ms, "a", 200)}},
+		{"another agent was told", 0, "", []Event{{At: 50 * ms, Kind: Told, Agent: "n2", Server: "s1", State: "draining"}, asked("a", Once), at(2101*ms, Attempted, "a"), answer(900*ms, "a", 200)}},
+		{"toppled", 4, "toppled", []Event{{At: 50 * ms, Kind: Toppled, Server: "s1"}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			broken := Check(c.seen, rules, time.Minute)
+			if c.rule == 0 {
+				if len(broken) > 0 {
+					t.Errorf("%v", broken)
+				}
+				return
+			}
+			if len(broken) != 1 || broken[0].Rule != c.rule || !strings.Contains(broken[0].Text, c.text) || len(broken[0].Events) == 0 {
+				t.Errorf("%v, want rule %d: %s", broken, c.rule, c.text)
+			}
+		})
+	}
+}
+
+// What had not come to its deadline when the run ended is not judged.
+func TestTheEndOfARunIsNoLoss(t *testing.T) {
+	if broken := Check([]Event{asked("a", Once)}, rules, time.Second); len(broken) > 0 {
+		t.Error(broken)
+	}
+}
+
+func TestLogOrdersByTime(t *testing.T) {
+	l := NewLog()
+	l.Add(Event{At: time.Hour, Kind: Answered})
+	l.Add(Event{Kind: Asked})
+	if e := l.Events(); len(e) != 2 || e[0].Kind != Asked || e[0].At <= 0 || e[1].Kind != Answered {
+		t.Errorf("%v", e)
+	}
+}
