Play experiments on real processes: faults, claims, baselines, reports and plots

Need: a place of the project's own where many real agents run together, are broken from a seed and measured.

chalklab run plays an experiment file: agent processes between emulated clients, report servers, discovery and links, sixteen kinds of fault on a timeline, the referee over all that was seen, claims as figures against bounds or against a baseline played in the same run. It measures its own ceiling and lateness and voids a run that was too late. list, report and compare; report.json, report.md, plots of outcomes, quantiles and crossings. Each run has a block of loopback addresses of its own, so runs beside each other share no port. docs/LABORATORY.md says how to read a report.

The referee's first finding was its own: a request sent to an agent between the note of its death and the death counted as lost; a death now has a beginning and an end.

--- a/cmd/chalklab/main.go
+++ b/cmd/chalklab/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -15,7 +16,11 @@
 )
 
 type cli struct {
-	Fleet fleetCmd `cmd:"" help:"Play a whole fleet in simulated time: the decision module of every agent against modelled servers."`
+	Run     runCmd     `cmd:"" help:"Play experiments: real agents between emulated clients, servers, discovery and links, with faults."`
+	List    listCmd    `cmd:"" help:"Name the experiments."`
+	Report  reportCmd  `cmd:"" help:"Print a report again."`
+	Compare compareCmd `cmd:"" help:"Set two reports, or two groups of them, side by side."`
+	Fleet   fleetCmd   `cmd:"" help:"Play a whole fleet in simulated time: the decision module of every agent against modelled servers."`
 }
 
 type fleetCmd struct {
@@ -37,7 +42,11 @@
 			}
 			os.Exit(code)
 		}), kong.BindTo(os.Stdout, (*io.Writer)(nil)))
-	ctx.FatalIfErrorf(ctx.Run())
+	if err := ctx.Run(); errors.Is(err, errFailed) {
+		os.Exit(1) // what failed has been printed
+	} else {
+		ctx.FatalIfErrorf(err)
+	}
 }
 
 // Run plays and prints one line for each play.
--- /dev/null
+++ b/internal/lab/experiment/world.go
@@ -0,0 +1,381 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"chalkdoor.example/chalkdoor/internal/lab/emu"
+	"chalkdoor.example/chalkdoor/internal/lab/fleet"
+	"chalkdoor.example/chalkdoor/internal/lab/link"
+	"chalkdoor.example/chalkdoor/internal/lab/load"
+	"chalkdoor.example/chalkdoor/internal/lab/procs"
+	"chalkdoor.example/chalkdoor/internal/lab/referee"
+	"chalkdoor.example/chalkdoor/policy"
+)
+
+const (
+	// agentPort is where each agent listens, on an address of its own.
+	agentPort = 8000
+	// agentMemory and agentSockets are an agent's limits, as small as on the platform.
+	agentMemory, agentSockets = 64, 512
+	// readyWithin bounds the start of all agents.
+	readyWithin = 30 * time.Second
+	// slowest and quickest are the speeds of servers' cores, drawn evenly.
+	slowest, quickest = 0.51, 1.1
+)
+
+// network is a block of loopback addresses that belongs to this run alone: 127.N.x.y.
+type network struct {
+	n    byte
+	held net.Listener // keeps the block from other runs
+}
+
+// claimNetwork finds a block that no other run holds.
+func claimNetwork() (*network, error) {
+	var last error
+	for n := byte(64); n < 250; n++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:7", n))
+		if err == nil {
+			return &network{n, ln}, nil
+		}
+		last = err
+	}
+	return nil, fmt.Errorf("experiment: no block of loopback addresses is free: %w", last)
+}
+
+// agent is where an agent listens, and where it reaches the others.
+func (n *network) agent(i int) net.IP { return net.IPv4(127, n.n, byte(1+i/250), byte(1+i%250)) }
+func (n *network) view(i int) net.IP  { return net.IPv4(127, n.n, byte(101+i/250), byte(1+i%250)) }
+
+// server is a report server of the fleet and the links to it.
+type server struct {
+	*emu.Server
+	target emu.Target   // changed under the world's mu
+	links  []*link.Link // by agent
+}
+
+// agent is one agent: its process, its view of discovery and its client.
+type agent struct {
+	index   int
+	name    string
+	zone    string
+	proc    *procs.Proc
+	view    *emu.View
+	client  *load.Client
+	quality link.Quality // of its links, beside distance
+}
+
+// world is a whole emulated fleet. The run's goroutine alone uses it, but for what says so.
+type world struct {
+	fleet   Fleet
+	seed    uint64
+	rng     *rand.Rand
+	dir     string
+	bin     string
+	log     *referee.Log
+	tries   *load.Tries
+	effects *emu.Effects
+	net     *network
+	group   *procs.Group
+	set     policy.Settings
+	start   time.Duration // of the load
+
+	todo chan func() error // what the run's goroutine does next
+	over chan struct{}     // closed when it takes no more
+
+	agents  []*agent
+	servers []*server // all there ever were; changed under mu
+	made    int
+
+	mu     sync.Mutex // of:
+	cuts   []func(a *agent, s *server) (to, from bool)
+	deaths []string // of agents that nobody killed
+	meant  map[*procs.Proc]bool
+}
+
+// build makes a fleet; with agents it starts their processes and waits until they are ready.
+func build(ctx context.Context, fl Fleet, set policy.Settings, cfg *load.Config, seed uint64, bin, dir string, agents bool) (w *world, err error) {
+	w = &world{fleet: fl, seed: seed, rng: rand.New(rand.NewPCG(seed, 21)), dir: dir, bin: bin, log: referee.NewLog(),
+		tries: load.NewTries(), group: procs.NewGroup(), set: set, meant: map[*procs.Proc]bool{},
+		todo: make(chan func() error), over: make(chan struct{})}
+	defer func() {
+		if err != nil {
+			w.close()
+		}
+	}()
+	w.effects = emu.NewEffects(w.effectsWindow())
+	if w.net, err = claimNetwork(); err != nil {
+		return nil, err
+	}
+	for i := range fl.Agents {
+		w.agents = append(w.agents, &agent{index: i, name: fmt.Sprintf("n%d", i), zone: fl.Zones[i%len(fl.Zones)]})
+	}
+	for range fl.Servers {
+		if _, err := w.addServer(0); err != nil {
+			return nil, err
+		}
+	}
+	if !agents {
+		return w, nil
+	}
+	for _, a := range w.agents {
+		ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: w.net.view(a.index)})
+		if err != nil {
+			return nil, fmt.Errorf("experiment: discovery: %w", err)
+		}
+		a.view = emu.NewView(a.name, w.log, w.list(a), ln)
+		if err := w.startAgent(a, ln.Addr().String()); err != nil {
+			return nil, err
+		}
+	}
+	for _, a := range w.agents {
+		if err := w.awaitReady(ctx, a); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// later hands the run's goroutine something to do; once that has ended it is dropped.
+func (w *world) later(do func() error) {
+	select {
+	case w.todo <- do:
+	case <-w.over:
+	}
+}
+
+// effectsWindow is for how long report servers drop the repeats of a key.
+func (w *world) effectsWindow() time.Duration {
+	return time.Duration(w.set.Classes[len(w.set.Classes)-1].KeyTTLMs) * time.Millisecond
+}
+
+// endAgents ends all agents in order, those that are paused, too.
+func (w *world) endAgents() {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, a := range w.agents {
+		w.mean(a.proc)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := a.proc.Terminate(ctx); err != nil {
+				w.died(fmt.Sprintf("%s at the end: %v", a.name, err))
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// close ends all of it.
+func (w *world) close() {
+	close(w.over)
+	w.group.Close()
+	for _, a := range w.agents {
+		if a.view != nil {
+			a.view.Close()
+		}
+		if a.client != nil {
+			a.client.Close()
+		}
+	}
+	for _, s := range w.servers {
+		for _, l := range s.links {
+			l.Close()
+		}
+		s.Close()
+	}
+	if w.net != nil {
+		w.net.held.Close()
+	}
+}
+
+// addServer adds a server that started at a time in Unix ms, 0 for long ago.
+func (w *world) addServer(started float64) (*server, error) {
+	i := w.made
+	w.made++
+	id := fmt.Sprintf("s-%03d", i)
+	cfg := fleet.Server()
+	cfg.Speed = slowest + (quickest-slowest)*w.rng.Float64()
+	cfg.StallAtMs = w.rng.Float64() * cfg.StallEveryMs
+	zone := w.fleet.Zones[i%len(w.fleet.Zones)]
+	s := &server{Server: emu.NewServer(emu.ServerConfig{ID: id, Zone: zone, Seed: w.rng.Uint64(), Model: cfg, HandshakeMs: 3,
+		ProbeMs: 0.1, IdleFor: time.Duration(w.set.Limits.KeepaliveMs) * time.Millisecond, Noise: 0.1}, w.tries.Work, w.log, w.effects),
+		target: emu.Target{ID: id, Zone: zone, Kind: "standard", Cell: i % len(w.fleet.Zones), State: emu.Up,
+			Weight: float64(cfg.Cores), StartedMs: started}}
+	if started > 0 {
+		s.Restart()
+	}
+	for _, a := range w.agents {
+		l, err := link.New(link.Config{IP: w.net.view(a.index), Near: a.name + "@" + a.zone, Seed: w.rng.Uint64(), First: 2 * w.oneWay(a, s)})
+		if err != nil {
+			return nil, err
+		}
+		s.links = append(s.links, l)
+		s.Serve(l)
+	}
+	w.mu.Lock()
+	w.servers = append(w.servers, s)
+	w.mu.Unlock()
+	return s, w.relink()
+}
+
+func (w *world) oneWay(a *agent, s *server) time.Duration {
+	if a.zone == s.Zone() {
+		return time.Duration(w.fleet.Near)
+	}
+	return time.Duration(w.fleet.Far)
+}
+
+// relink sets every link as distance, faults and cuts say.
+func (w *world) relink() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var wg sync.WaitGroup
+	errs := make(chan error, 1)
+	for _, s := range w.servers {
+		for i, l := range s.links {
+			a := w.agents[i]
+			q := a.quality
+			q.Delay += w.oneWay(a, s)
+			for _, cut := range w.cuts {
+				to, from := cut(a, s)
+				q.CutTo, q.CutFrom = q.CutTo || to, q.CutFrom || from
+			}
+			wg.Add(1)
+			go func() { // a cut takes a moment
+				defer wg.Done()
+				if err := l.Set(q); err != nil && !errors.Is(err, net.ErrClosed) {
+					select {
+					case errs <- err:
+					default:
+					}
+				}
+			}()
+		}
+	}
+	wg.Wait()
+	select {
+	case err := <-errs:
+		return err
+	default:
+		return nil
+	}
+}
+
+// list is what discovery lists for an agent now.
+func (w *world) list(a *agent) (list []emu.Target) {
+	for _, s := range w.servers {
+		if s.target.State != emu.Removed {
+			list = append(list, s.entry(a))
+		}
+	}
+	return list
+}
+
+// entry is the server's entry for an agent: addresses are the agent's own.
+func (s *server) entry(a *agent) emu.Target {
+	t := s.target
+	t.Addr = s.links[a.index].Addr().String()
+	return t
+}
+
+// tell lets discovery tell of changed servers, late.
+func (w *world) tell(late time.Duration, changed ...*server) {
+	for _, a := range w.agents {
+		if a.view == nil {
+			continue
+		}
+		var list []emu.Target
+		for _, s := range changed {
+			list = append(list, s.entry(a))
+		}
+		time.AfterFunc(late, func() { a.view.Tell(list...) })
+	}
+}
+
+// startAgent starts an agent's process.
+func (w *world) startAgent(a *agent, discovery string) error {
+	set := w.set
+	set.Index, set.Replicas = a.index, len(w.agents)
+	for i, z := range w.fleet.Zones {
+		if z == a.zone {
+			set.Zone = i
+		}
+	}
+	raw, err := json.Marshal(set)
+	if err != nil {
+		return fmt.Errorf("experiment: settings: %w", err)
+	}
+	var settings map[string]any
+	if err := json.Unmarshal(raw, &settings); err != nil {
+		return fmt.Errorf("experiment: settings: %w", err)
+	}
+	settings["failureDomains"], settings["shapes"] = w.fleet.Zones, []string{"standard"}
+	addr := net.JoinHostPort(w.net.agent(a.index).String(), strconv.Itoa(agentPort))
+	text, err := json.Marshal(map[string]any{"name": a.name, "listen": addr, "discovery": discovery,
+		"seed":   fmt.Sprintf("%016x", w.rng.Uint64()),
+		"limits": map[string]any{"cores": 1, "memory_mb": agentMemory, "sockets": agentSockets},
+		"known":  a.view.Known(), "settings": settings})
+	if err != nil {
+		return fmt.Errorf("experiment: configuration: %w", err)
+	}
+	path := filepath.Join(w.dir, a.name+".json")
+	if err := os.WriteFile(path, text, 0o644); err != nil {
+		return fmt.Errorf("experiment: configuration: %w", err)
+	}
+	p, err := w.group.Start(procs.Spec{Name: a.name, Path: w.bin, Env: []string{"PROXY_CONFIG=" + path, "PROXY_NAME=" + a.name,
+		"PROXY_LISTEN=" + addr, "PROXY_DISCOVERY=" + discovery}, Log: filepath.Join(w.dir, a.name+".log")})
+	if err != nil {
+		return err
+	}
+	a.proc = p
+	go func() {
+		<-p.Ended()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.meant[p] {
+			w.deaths = append(w.deaths, fmt.Sprintf("%s: %v", a.name, p.Err()))
+		}
+	}()
+	return nil
+}
+
+// restart starts an agent again, from nothing but the list.
+func (w *world) restart(a *agent) error {
+	return w.startAgent(a, a.view.Addr())
+}
+
+// mean notes that a process is to end: its end is no crash.
+func (w *world) mean(p *procs.Proc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.meant[p] = true
+}
+
+func (w *world) awaitReady(ctx context.Context, a *agent) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for {
+		ok, err := ready(ctx, net.JoinHostPort(w.net.agent(a.index).String(), strconv.Itoa(agentPort)))
+		if ok {
+			return nil
+		}
+		select {
+		case <-a.proc.Ended():
+			return fmt.Errorf("experiment: %s ended at its start (%v), see %s", a.name, a.proc.Err(), filepath.Join(w.dir, a.name+".log"))
+		case <-ctx.Done():
+			return fmt.Errorf("experiment: %s is not ready: %w", a.name, errors.Join(ctx.Err(), err))
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
