Let the module tell what it has learned and take it back in another life, weakly

Need: an agent that starts again knows an old list and nothing else. What it may keep on disk has to come from the module as plain values with ages, and the module decides what of it to believe.

Believed are servers that are listed as the same process, for 30 s; keys and usual times for 10 min, fading.

--- a/cmd/chalklab/main.go
+++ b/cmd/chalklab/main.go
@@ -29,6 +29,7 @@
 	Agents   int      `default:"300" help:"Agents; the load grows with them."`
 	Servers  int      `default:"170" help:"Report servers."`
 	Load     float64  `default:"1" help:"Times the usual load of an agent."`
+	Recall   bool     `help:"Agents that start again come with what they knew."`
 	Seconds  bool     `help:"Also print every second of each play."`
 }
 
@@ -61,7 +62,7 @@
 		for seed := uint64(1); seed <= f.Seeds; seed++ {
 			cfg := fleet.Site(seed, name)
 			cfg.Rate *= f.Load * float64(f.Agents) / float64(cfg.Agents)
-			cfg.Agents, cfg.Servers = f.Agents, f.Servers
+			cfg.Agents, cfg.Servers, cfg.Recall = f.Agents, f.Servers, f.Recall
 			r, err := fleet.Run(cfg)
 			if err != nil {
 				return err
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -40,6 +40,7 @@
 	IdleMs        float64 // for how long agents keep an idle connection
 	RetryMs       float64 // after how long a refused or failed client comes again, once; 0: never
 	Scenario      string  // one of Scenarios
+	Recall        bool    // agents that start again come with what they knew
 }
 
 // Second is what happened to the requests that came, and the attempts that began, in a second.
@@ -372,6 +373,10 @@
 // ---- agents ----
 
 func (p *play) boot(a *agent) error {
+	var memory *policy.Memory
+	if a.bal != nil && p.Recall {
+		memory = a.bal.Memory(p.now)
+	}
 	set := p.Settings
 	set.Index, set.Replicas, set.Zone = a.index, p.Agents, a.zone
 	bal, err := policy.New(set, p.rng.Uint64())
@@ -391,6 +396,9 @@
 	a.bal, a.idle, a.reqs = bal, map[policy.Addr][]float64{}, map[policy.RequestID]*request{}
 	p.carryOut(a, bal.Start(p.now, nil))
 	p.handle(a, &policy.Event{Kind: policy.EvList, List: policy.ListCached, Entries: p.listed})
+	if memory != nil {
+		p.handle(a, &policy.Event{Kind: policy.EvRecall, Memory: memory})
+	}
 	return nil
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,5 @@
-// The decisions are in five files: this one with what they are tuned by, the events and
-// the list; admission.go, pick.go, guards.go and verdicts.go. Their interface, the
+// The decisions are in six files: this one with what they are tuned by, the events and
+// the list; admission.go, pick.go, guards.go, verdicts.go and recall.go. Their interface, the
 // settings, events, actions and states, is in policy/types.go.
 
 package policy
@@ -115,6 +115,10 @@
 	// which its traffic is known.
 	aperture, apertureLeast, cameMemory = 0.2, 16, 2000.0
 
+	// recallMost is the age in ms up to which what an earlier life knew of servers and of the
+	// load is believed, recallKeys that for the popularity of keys and usual answer times.
+	recallMost, recallKeys = 30e3, 600e3
+
 	tickToken, followToken = 1, 2
 )
 
@@ -177,6 +181,8 @@
 		b.onList(ev)
 	case EvProbed:
 		b.onProbed(ev)
+	case EvRecall:
+		b.recollect(ev.Memory)
 	case EvTimer:
 		b.onTimer(ev.Token)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -453,6 +453,27 @@
 	return x ^ x>>31
 }
 
+// maxKeys bounds the keys that are remembered.
+const maxKeys = 10_000
+
+// Memory is what the Balancer has learned by now, for its next life.
+func (b *Balancer) Memory(now float64) *Memory {
+	m := &Memory{Demand: b.demand, Peak: b.peak, Admitted: b.admitted, CalmLat: b.calmLat, FleetLat: b.fleetLat,
+		Answers: b.answers, Expect: slices.Clone(b.expect)}
+	for _, s := range b.servers {
+		m.Servers = append(m.Servers, ServerMemory{Server: s.id, StartedMs: s.listedAt, State: s.state, InStateMs: max(now-s.since, 0),
+			Silent: s.silent, Strikes: s.strikes, Failing: s.failing, Lat: s.lat, RTTMs: s.rtt, Samples: s.samples, Window: s.window})
+	}
+	for k, n := range b.keys {
+		m.Keys = append(m.Keys, KeyMemory{k, n})
+	}
+	slices.SortFunc(m.Keys, func(x, y KeyMemory) int {
+		return cmp.Or(cmp.Compare(y.Count, x.Count), cmp.Compare(x.Key, y.Key))
+	})
+	m.Keys = m.Keys[:min(len(m.Keys), maxKeys)]
+	return m
+}
+
 // Figures is what a Balancer believes of the fleet, for reports: nothing decides by it.
 type Figures struct {
 	Shed      float64 // part of the requests refused for being served late
--- a/policy/types.go
+++ b/policy/types.go
@@ -202,6 +202,7 @@
 	EvProbed                       // Server, Status, LatencyMs, Report
 	EvTimer                        // Token
 	EvPeer                         // a message of another agent; carries nothing that is used
+	EvRecall                       // Memory: what an earlier life had learned; after the first list
 )
 
 // Event is something that happened to one agent.
@@ -224,6 +225,43 @@
 	List      ListKind
 	Entries   []Entry // not changed and not kept by the Balancer
 	Token     uint32
+	Memory    *Memory // not changed and not kept by the Balancer
+}
+
+// Memory is what an agent has learned, as plain values with ages, to outlive its process.
+// What of it is believed is decided when it comes back.
+type Memory struct {
+	AgeMs    float64 // since it was taken; the worst case where that is not known
+	Servers  []ServerMemory
+	Keys     []KeyMemory // the most popular first
+	Demand   float64     // of the fleet, were nothing refused, and
+	Peak     float64     // its capacity, in warm servers of weight one
+	Admitted float64
+	CalmLat  float64 // mean answer time as a part of the aim, calm
+	FleetLat float64 // and of late
+	Answers  float64
+	Expect   []float64 // answer times by class, ms
+}
+
+// ServerMemory is what was known of one server.
+type ServerMemory struct {
+	Server    Addr
+	StartedMs float64 // as listed: another process is another server
+	State     State
+	InStateMs float64 // for how long
+	Silent    bool
+	Strikes   int
+	Failing   float64
+	Lat       float64 // mean answer time as a part of the aim
+	RTTMs     float64
+	Samples   int
+	Window    float64
+}
+
+// KeyMemory is how often a key was asked for of late.
+type KeyMemory struct {
+	Key   uint64
+	Count float64
 }
 
 // ActionKind tells which fields of an Action count.
