Keep what an agent has learned on disk, and start its next life with it

Need: an agent that starts again knows an old list and nothing else, and may be told by that list that a server is up which it knew to drain.

One goroutine saves, at an interval and at the end, the newest state only; nothing waits for it. A kept list of the same discovery wins over an older one of the platform.

--- a/cmd/chalkdoor/command_test.go
+++ b/cmd/chalkdoor/command_test.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -70,17 +68,8 @@
 "limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":`+settings+`}`)
 	ops := "[agent]\nconfig = \"" + config + "\"\n[metrics]\naddress = \"127.0.0.1:0\"\n[log]\nformat = \"json\"\n"
 	write(opsFile, ops)
-	cmd := exec.Command(os.Args[0], "agent", "--ops", opsFile)
-	cmd.Env = append(os.Environ(), "CHALKDOOR_AS_PROGRAM=1", "PROXY_CONFIG=", "PROXY_NAME=", "PROXY_LISTEN=", "PROXY_DISCOVERY=")
-	stderr, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
-	log := bufio.NewReader(stderr)
+	l := start(t, opsFile)
+	cmd, log := l.cmd, l.log
 	// next is the next line with the message; lines of failed discovery calls come between.
 	next := func(msg string) (line map[string]any) {
 		t.Helper()
--- a/cmd/chalkdoor/main.go
+++ b/cmd/chalkdoor/main.go
@@ -38,6 +38,7 @@
 type cli struct {
 	Agent      agentCmd                     `cmd:"" help:"Run the agent, as without arguments, with an operations file."`
 	Check      checkCmd                     `cmd:"" help:"Check an operations file (.toml) or a configuration of the platform (.json), and say by key what is wrong."`
+	State      stateCmd                     `cmd:"" help:"Look at what an agent keeps on disk."`
 	Example    exampleCmd                   `cmd:"" help:"Print an operations file with every key, its default and what it is for."`
 	Version    versionCmd                   `cmd:"" help:"Print the version."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print the lines that set up completion in your shell."`
--- a/cmd/chalkdoor/serve.go
+++ b/cmd/chalkdoor/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math"
@@ -12,8 +13,10 @@
 	"runtime/debug"
 	"strings"
 	"syscall"
+	"time"
 
 	"chalkdoor.example/chalkdoor/internal/agent"
+	"chalkdoor.example/chalkdoor/internal/durable"
 	"chalkdoor.example/chalkdoor/internal/logs"
 	"chalkdoor.example/chalkdoor/internal/metrics"
 	"chalkdoor.example/chalkdoor/internal/ops"
@@ -65,6 +68,14 @@
 			}
 			opt.Observer = m
 		}
+		if file.State.Dir != "" {
+			if k := keepState(ctx, &file, &opt); k != nil {
+				defer func() {
+					end()
+					<-k.Ended()
+				}()
+			}
+		}
 		again := make(chan os.Signal, 1)
 		signal.Notify(again, syscall.SIGHUP)
 		go rereadOps(ctx, again, opsPath, file, log)
@@ -88,6 +99,61 @@
 	return m, nil
 }
 
+// keepState opens the folder of what the agent learns, and gives it what an earlier life had
+// learned. A folder that can't be used is reported, and the agent serves without: nil.
+func keepState(ctx context.Context, file *ops.File, opt *agent.Options) *durable.Keeper {
+	store, g, problems, err := durable.Open(file.State.Dir, durable.Now)
+	for _, p := range problems {
+		slog.Warn("state not believed", "where", p.Where, "why", p.Why)
+	}
+	if err != nil {
+		slog.Error("state not used, nothing is kept", "dir", file.State.Dir, "err", err)
+		return nil
+	}
+	if g != nil {
+		st, dropped := durable.Decode(g)
+		for _, p := range dropped {
+			slog.Warn("state not believed", "where", p.Where, "why", p.Why)
+		}
+		opt.Recall = recalled(st)
+		m := st.Memory
+		slog.Info("state recalled", "generation", g.Seq, "age", g.Age.String(), "dated", g.Dated, "servers", len(m.Servers), "keys", len(m.Keys), "boot", store.Boot)
+	} else {
+		slog.Info("no state to recall", "dir", file.State.Dir, "boot", store.Boot)
+	}
+	k := durable.Keep(ctx, store)
+	opt.Remember, opt.RememberEvery = func(kept *agent.Kept) { k.Remember(remembered(kept)) }, time.Duration(file.State.Every)
+	return k
+}
+
+// remembered and recalled take what is kept to its form on the disk, and back.
+func remembered(kept *agent.Kept) *durable.State {
+	s := &durable.State{Memory: kept.Memory, Discovery: kept.Discovery, Version: kept.List.Version, Targets: map[string]json.RawMessage{}}
+	for _, t := range kept.List.Servers {
+		text, err := json.Marshal(t)
+		if err != nil { // a number that has no form in JSON: no list is better than half of one
+			s.Targets = nil
+			return s
+		}
+		s.Targets[t.ID] = text
+	}
+	return s
+}
+
+func recalled(s *durable.State) *agent.Kept {
+	kept := &agent.Kept{Memory: s.Memory, Discovery: s.Discovery, List: agent.List{Version: s.Version, Full: true}}
+	for id, text := range s.Targets {
+		var t agent.Target
+		if err := json.Unmarshal(text, &t); err != nil || t.ID != id {
+			slog.Warn("state not believed", "where", "list "+id, "why", err)
+			kept.List.Servers = nil
+			return kept
+		}
+		kept.List.Servers = append(kept.List.Servers, t)
+	}
+	return kept
+}
+
 // rereadOps takes over from the operations file, at each signal, what can change, and names
 // what needs a restart. A file that can't be used leaves all as it is.
 func rereadOps(ctx context.Context, signals <-chan os.Signal, path string, old ops.File, log *logs.Handler) {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 			l.observer = opt.Observer
 			l.observer.Serving(l.stats)
 		}
+		l.recall, l.remember, l.rememberEvery = opt.Recall, opt.Remember, opt.RememberEvery
 		if opt.Reread != nil {
 			go reload(stop, opt.Reread, opt.Read, cfg, func(discovery string) { l.post(func() { l.rediscover(discovery) }) })
 		}
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -274,6 +274,12 @@
 
 // startAgent starts an agent that knows the list of the discovery as it is now.
 func startAgent(t *testing.T, d *fakeDiscovery, change func(*Config)) *testAgent {
+	t.Helper()
+	return startAgentWith(t, d, change, func(*loop) {})
+}
+
+// startAgentWith is startAgent, which also changes the loop before it runs.
+func startAgentWith(t *testing.T, d *fakeDiscovery, change func(*Config), made func(*loop)) *testAgent {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -289,7 +295,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	a := &testAgent{t: t, addr: ln.Addr().String(), stop: stop, done: make(chan error, 1)}
 	started := make(chan *loop, 1)
-	go func() { a.done <- run(ctx, cfg, ln, func(l *loop) { started <- l }) }()
+	go func() { a.done <- run(ctx, cfg, ln, func(l *loop) { made(l); started <- l }) }()
 	a.loop = <-started
 	t.Cleanup(func() {
 		stop()
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -59,6 +59,11 @@
 	ready    func()
 	figures  figures
 	observer Observer
+
+	recall        *Kept // of an earlier life
+	remember      func(*Kept)
+	rememberEvery time.Duration
+	targets       map[string]Target // the list, where it is to be remembered
 }
 
 // figures are counted for the log at the end.
@@ -157,7 +162,11 @@
 	go l.writeLog()
 	l.carryOut(l.balancer.Start(l.now(), l.actions[:0]))
 	// The list as last had comes with the start, however old, as at the simulator.
-	l.list(&l.cfg.Known, policy.ListCached, true)
+	l.list(l.firstList(), policy.ListCached, true)
+	if l.recall != nil {
+		l.handle(&policy.Event{Kind: policy.EvRecall, Memory: l.recall.Memory})
+		l.recall = nil
+	}
 	if l.pushed() {
 		l.follow()
 	}
@@ -167,6 +176,13 @@
 	}
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
+	var keep <-chan time.Time
+	if l.remember != nil {
+		ticker := time.NewTicker(l.rememberEvery)
+		defer ticker.Stop()
+		keep = ticker.C
+		defer func() { l.remember(l.kept()) }()
+	}
 	for {
 		select {
 		case f := <-l.inbox:
@@ -174,6 +190,8 @@
 			l.drain()
 		case <-sweep.C:
 			l.sender.pool.sweep()
+		case <-keep:
+			l.remember(l.kept())
 		case <-l.ctx.Done():
 			return
 		}
@@ -514,6 +532,7 @@
 
 func (l *loop) list(list *List, kind policy.ListKind, full bool) {
 	l.version, l.unknown = list.Version, l.unknown && !full
+	l.note(list, full)
 	entries, stale, gone := l.table.apply(list, full)
 	for _, b := range stale {
 		l.sender.pool.hangUp(b)
--- a/internal/agent/observe.go
+++ b/internal/agent/observe.go
@@ -42,6 +42,54 @@
 	Read   func() (*Config, error)
 	// Observer may be nil.
 	Observer Observer
+	// Recall is what an earlier life had learned; nil: nothing.
+	Recall *Kept
+	// Remember is handed what has been learned, from the loop, each RememberEvery and at the
+	// end; it must not block. It may be nil.
+	Remember      func(*Kept)
+	RememberEvery time.Duration
+}
+
+// Kept is what an agent hands to its next life: what it has learned, and the list as it was
+// told. The list that the platform hands to a new start may be older, and name servers as up
+// of which the agent had been told that they drain.
+type Kept struct {
+	Memory    *policy.Memory
+	Discovery string // whose list it is: versions of another are not its
+	List      List
+}
+
+// kept is what the loop has now.
+func (l *loop) kept() *Kept {
+	k := &Kept{Memory: l.balancer.Memory(l.now()), Discovery: l.disc.addr, List: List{Version: l.version, Full: true}}
+	for _, t := range l.targets {
+		k.List.Servers = append(k.List.Servers, t)
+	}
+	return k
+}
+
+// note keeps what a list says of each server.
+func (l *loop) note(list *List, full bool) {
+	if l.remember == nil {
+		return
+	}
+	if full || l.targets == nil {
+		l.targets = map[string]Target{}
+	}
+	for _, t := range list.Servers {
+		if l.targets[t.ID] = t; t.State == "removed" {
+			delete(l.targets, t.ID)
+		}
+	}
+}
+
+// firstList is the list to start with: the platform's, or the kept one where that is of the
+// same discovery and newer.
+func (l *loop) firstList() *List {
+	if k := l.recall; k != nil && k.Discovery == l.cfg.Discovery && k.List.Version > l.cfg.Known.Version && len(k.List.Servers) > 0 {
+		return &k.List
+	}
+	return &l.cfg.Known
 }
 
 // deaf is the observer of an agent that has none.
--- /dev/null
+++ b/internal/durable/memory.go
@@ -0,0 +1,153 @@
+package durable
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"chalkdoor.example/chalkdoor/policy"
+)
+
+// The tables of an agent's memory, and the versions of their forms.
+const (
+	tableServers, versionServers = "servers", 1
+	tableKeys, versionKeys       = "keys", 1
+	tableLoad, versionLoad       = "load", 1
+	tableList, versionList       = "list", 1
+)
+
+// State is all that an agent keeps: what it has learned, and the list as it was told, each
+// entry in discovery's own form.
+type State struct {
+	Memory    *policy.Memory
+	Discovery string
+	Version   uint64
+	Targets   map[string]json.RawMessage // by id
+}
+
+// head is what a list's version counts for. No id of a server is empty.
+type head struct {
+	Discovery string
+	Version   uint64
+	Targets   int
+}
+
+const (
+	// keysEach is how many keys a record holds: a damaged one costs no more.
+	keysEach = 256
+	// maxServers bounds the servers that are kept.
+	maxServers = 10_000
+)
+
+// listHead is the key of a list's head; those of its entries begin otherwise.
+const listHead = "."
+
+// load is what is known of all servers together.
+type load struct {
+	Demand, Peak, Admitted, CalmLat, FleetLat, Answers float64
+	Expect                                             []float64
+}
+
+// Encode is a state as tables.
+func Encode(s *State) (Tables, error) {
+	m := s.Memory
+	t := Tables{tableServers: {}, tableKeys: {}, tableLoad: {}, tableList: {}}
+	if n := len(s.Targets); n > 0 && n <= maxServers {
+		text, err := json.Marshal(head{s.Discovery, s.Version, n})
+		if err != nil {
+			return nil, fmt.Errorf("durable: list: %w", err)
+		}
+		t[tableList][listHead] = Record{versionList, text}
+		for id, target := range s.Targets {
+			t[tableList]["="+id] = Record{versionList, target}
+		}
+	}
+	for i := range m.Servers[:min(len(m.Servers), maxServers)] {
+		text, err := json.Marshal(&m.Servers[i])
+		if err != nil {
+			return nil, fmt.Errorf("durable: server %v: %w", m.Servers[i].Server, err)
+		}
+		t[tableServers][fmt.Sprintf("%x", m.Servers[i].Server)] = Record{versionServers, text}
+	}
+	for i := 0; i < len(m.Keys); i += keysEach {
+		var raw []byte
+		for _, k := range m.Keys[i:min(i+keysEach, len(m.Keys))] {
+			raw = binary.BigEndian.AppendUint64(raw, k.Key)
+			raw = binary.BigEndian.AppendUint64(raw, math.Float64bits(k.Count))
+		}
+		t[tableKeys][fmt.Sprintf("%06d", i/keysEach)] = Record{versionKeys, raw}
+	}
+	text, err := json.Marshal(load{m.Demand, m.Peak, m.Admitted, m.CalmLat, m.FleetLat, m.Answers, m.Expect})
+	if err != nil {
+		return nil, fmt.Errorf("durable: load: %w", err)
+	}
+	t[tableLoad]["now"] = Record{versionLoad, text}
+	return t, nil
+}
+
+// Decode is the state of a generation; records that can't be read are dropped and named. How
+// long each state had lasted is counted on by the generation's age. A list of which an entry
+// is missing is no list: what it leaves out would count as gone.
+func Decode(g *Generation) (st *State, problems []Problem) {
+	st = &State{}
+	m := &policy.Memory{AgeMs: float64(g.Age) / float64(time.Millisecond)}
+	drop := func(table, key string, why any) {
+		problems = append(problems, Problem{fmt.Sprintf("%s %q", table, key), fmt.Sprint(why)})
+	}
+	for _, key := range sorted(g.Tables[tableServers]) {
+		r := g.Tables[tableServers][key]
+		var s policy.ServerMemory
+		if r.Version != versionServers {
+			drop(tableServers, key, "version "+strconv.Itoa(int(r.Version)))
+		} else if err := json.Unmarshal(r.Value, &s); err != nil {
+			drop(tableServers, key, err)
+		} else if key != fmt.Sprintf("%x", s.Server) {
+			drop(tableServers, key, "of another server")
+		} else {
+			s.InStateMs += m.AgeMs
+			m.Servers = append(m.Servers, s)
+		}
+	}
+	for _, key := range sorted(g.Tables[tableKeys]) {
+		r := g.Tables[tableKeys][key]
+		if r.Version != versionKeys || len(r.Value)%16 != 0 || len(r.Value) > 16*keysEach {
+			drop(tableKeys, key, fmt.Sprintf("version %d, %d bytes", r.Version, len(r.Value)))
+			continue
+		}
+		for raw := r.Value; len(raw) > 0; raw = raw[16:] {
+			m.Keys = append(m.Keys, policy.KeyMemory{Key: binary.BigEndian.Uint64(raw), Count: math.Float64frombits(binary.BigEndian.Uint64(raw[8:]))})
+		}
+	}
+	if r, ok := g.Tables[tableLoad]["now"]; ok {
+		var l load
+		if err := json.Unmarshal(r.Value, &l); err != nil || r.Version != versionLoad {
+			drop(tableLoad, "now", fmt.Sprintf("version %d, %v", r.Version, err))
+		} else {
+			m.Demand, m.Peak, m.Admitted, m.CalmLat, m.FleetLat, m.Answers, m.Expect = l.Demand, l.Peak, l.Admitted, l.CalmLat, l.FleetLat, l.Answers, l.Expect
+		}
+	}
+	st.Memory = m
+	r, ok := g.Tables[tableList][listHead]
+	if !ok {
+		if len(g.Tables[tableList]) > 0 {
+			drop(tableList, listHead, "missing")
+		}
+		return st, problems
+	}
+	var h head
+	if err := json.Unmarshal(r.Value, &h); err != nil || r.Version != versionList || h.Targets != len(g.Tables[tableList])-1 {
+		drop(tableList, listHead, fmt.Sprintf("version %d, %d of %d entries, %v", r.Version, len(g.Tables[tableList])-1, h.Targets, err))
+		return st, problems
+	}
+	st.Discovery, st.Version, st.Targets = h.Discovery, h.Version, map[string]json.RawMessage{}
+	for key, r := range g.Tables[tableList] {
+		if id, ok := strings.CutPrefix(key, "="); ok {
+			st.Targets[id] = r.Value
+		}
+	}
+	return st, problems
+}
--- /dev/null
+++ b/internal/durable/memory_test.go
@@ -0,0 +1,140 @@
+package durable
+
+import (
+	"context"
+	"encoding/json"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"chalkdoor.example/chalkdoor/policy"
+)
+
+func memory(servers, keys int) *policy.Memory {
+	m := &policy.Memory{Demand: 3.5, Peak: 10, Admitted: 0.9, CalmLat: 0.1, FleetLat: 0.2, Answers: 77, Expect: []float64{20, 40}}
+	for i := range servers {
+		m.Servers = append(m.Servers, policy.ServerMemory{Server: policy.Addr{10, 0, byte(i >> 8), byte(i), 1, 2}, StartedMs: float64(i),
+			State: policy.State(i % 4), InStateMs: 5, Silent: i%2 == 0, Strikes: i % 3, Failing: 0.25, Lat: 0.1, RTTMs: 12, Samples: 4, Window: 2})
+	}
+	for i := range keys {
+		m.Keys = append(m.Keys, policy.KeyMemory{Key: uint64(i) * 0x9e3779b97f4a7c15, Count: 1 / float64(i+1)})
+	}
+	return m
+}
+
+func state(m *policy.Memory) *State {
+	return &State{Memory: m, Discovery: "127.0.0.1:9", Version: 7,
+		Targets: map[string]json.RawMessage{"s-1": json.RawMessage(`{"id":"s-1"}`), "s-2": json.RawMessage(`{"id":"s-2","state":"draining"}`)}}
+}
+
+func TestMemoryComesBackWithItsAge(t *testing.T) {
+	for _, c := range []struct{ servers, keys int }{{0, 0}, {3, 1}, {200, 1000}} {
+		m := memory(c.servers, c.keys)
+		tt, err := Encode(state(m))
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, problems := Decode(&Generation{Tables: tt, Age: 2 * time.Second, Dated: true})
+		got := back.Memory
+		if got.AgeMs != 2000 || len(problems) > 0 {
+			t.Fatalf("%v ms old, %v", got.AgeMs, problems)
+		}
+		for i := range got.Servers {
+			if got.Servers[i].InStateMs -= 2000; got.Servers[i].InStateMs != 5 {
+				t.Fatalf("in its state for %v ms and its age", got.Servers[i].InStateMs)
+			}
+		}
+		if want := state(m); back.Discovery != want.Discovery || back.Version != 7 || !reflect.DeepEqual(back.Targets, want.Targets) {
+			t.Errorf("the list: %+v", back)
+		}
+		if got.AgeMs = 0; !reflect.DeepEqual(got, m) {
+			t.Errorf("%d servers and %d keys: %+v, want %+v", c.servers, c.keys, got, m)
+		}
+	}
+}
+
+func TestRecordsThatCannotBeReadAreNamed(t *testing.T) {
+	tt, err := Encode(state(memory(3, 600)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys := sorted(tt[tableServers])
+	tt[tableServers][keys[0]] = Record{versionServers + 1, tt[tableServers][keys[0]].Value}
+	tt[tableServers][keys[1]] = tt[tableServers][keys[2]]
+	tt[tableKeys]["000001"] = Record{versionKeys, []byte("short")}
+	tt[tableLoad]["now"] = Record{versionLoad, []byte("{")}
+	delete(tt[tableList], "=s-1")
+	st, problems := Decode(&Generation{Tables: tt})
+	m := st.Memory
+	if len(problems) != 5 || st.Targets != nil || len(m.Servers) != 1 || len(m.Keys) != 600-keysEach || m.Demand != 0 {
+		t.Errorf("%v, %d servers, %d keys, demand %v", problems, len(m.Servers), len(m.Keys), m.Demand)
+	}
+}
+
+// The keeper saves the newest of what it is handed, the last at its end, and blocks nobody.
+func TestKeeperSavesTheLast(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "state")
+	s, _, _ := mustOpen(t, dir, at(0))
+	ctx, cancel := context.WithCancel(context.Background())
+	k := Keep(ctx, s)
+	for i := range 500 {
+		m := memory(2, 2)
+		m.Answers = float64(i)
+		k.Remember(state(m))
+	}
+	cancel()
+	<-k.Ended()
+	s, g, _ := mustOpen(t, dir, at(0))
+	defer closed(t, s)
+	back, _ := Decode(g)
+	m := back.Memory
+	if m.Answers != 499 {
+		t.Errorf("saved is number %v of 500", m.Answers)
+	}
+	st := k.Stats()
+	if saved, skipped := st.Saved.Load(), st.Skipped.Load(); saved < 1 || saved+skipped != 500 || st.Bytes.Load() < 100 {
+		t.Errorf("%d saved, %d skipped, %d bytes", saved, skipped, st.Bytes.Load())
+	}
+}
+
+func BenchmarkSave(b *testing.B) {
+	s, _, _, err := Open(b.TempDir(), Now)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	m := state(memory(200, 10_000))
+	for b.Loop() {
+		t, err := Encode(m)
+		if err == nil {
+			err = s.Save(t)
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	dir := b.TempDir()
+	s, _, _, err := Open(dir, Now)
+	if err != nil {
+		b.Fatal(err)
+	}
+	t, err := Encode(state(memory(200, 10_000)))
+	if err == nil {
+		err = s.Save(t)
+	}
+	if err != nil || s.Close() != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		s, g, _, err := Open(dir, Now)
+		if err != nil {
+			b.Fatal(err)
+		}
+		Decode(g)
+		s.Close()
+	}
+}
--- /dev/null
+++ b/internal/durable/writer.go
@@ -0,0 +1,103 @@
+package durable
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+)
+
+// Keeper saves the newest state it was handed, at most one at a time, on a goroutine of its
+// own: no request waits for the disk, however slow it is.
+type Keeper struct {
+	store *Store
+	next  chan *State // the newest only
+	ended chan struct{}
+	stats Stats
+}
+
+// Stats are counted over a keeper's life. They are safe to read at any time.
+type Stats struct {
+	Saved, Failed, Bytes, Skipped atomic.Int64
+	Slowest                       atomic.Int64 // a save, in microseconds
+}
+
+// Keep starts saving to a store, which it closes when ctx is done and the last save is out.
+func Keep(ctx context.Context, s *Store) *Keeper {
+	k := &Keeper{store: s, next: make(chan *State, 1), ended: make(chan struct{})}
+	go k.run(ctx)
+	return k
+}
+
+// Remember hands over what is to be saved; it never blocks. What was not yet begun to be saved
+// is replaced.
+func (k *Keeper) Remember(m *State) {
+	for {
+		select {
+		case k.next <- m:
+			return
+		default:
+		}
+		select {
+		case <-k.next:
+			k.stats.Skipped.Add(1)
+		default:
+		}
+	}
+}
+
+// Stats counts what was done.
+func (k *Keeper) Stats() *Stats { return &k.stats }
+
+// Ended is closed when the store has been closed.
+func (k *Keeper) Ended() <-chan struct{} { return k.ended }
+
+func (k *Keeper) run(ctx context.Context) {
+	defer close(k.ended)
+	defer func() {
+		if err := k.store.Close(); err != nil {
+			slog.Warn("state not closed", "err", err)
+		}
+	}()
+	for {
+		select {
+		case m := <-k.next:
+			k.save(m)
+		case <-ctx.Done():
+			select {
+			case m := <-k.next: // what was handed over last
+				k.save(m)
+			default:
+			}
+			return
+		}
+	}
+}
+
+func (k *Keeper) save(m *State) {
+	from := time.Now()
+	t, err := Encode(m)
+	if err == nil {
+		err = k.store.Save(t)
+	}
+	if err != nil {
+		// Once for a row of failures: a full disk would fill the log, too.
+		if k.stats.Failed.Add(1) == 1 {
+			slog.Warn("state not saved", "err", err)
+		}
+		return
+	}
+	k.stats.Saved.Add(1)
+	for _, records := range t {
+		for key, r := range records {
+			k.stats.Bytes.Add(int64(len(key) + len(r.Value)))
+		}
+	}
+	took := time.Since(from).Microseconds()
+	for {
+		old := k.stats.Slowest.Load()
+		if took <= old || k.stats.Slowest.CompareAndSwap(old, took) {
+			return
+		}
+	}
+}
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -31,15 +31,20 @@
 		Fleet Fleet `toml:"fleet"`
 		Load  Load  `toml:"load"`
 	} `toml:"quick"`
-	// Baselines are played in the same run: pickers in place of the agents.
+	// Baselines are played in the same run: pickers in place of the agents, or NoState.
 	Baselines []string `toml:"baselines"`
 }
 
+// NoState is the baseline of the same agents without their folders.
+const NoState = "no-state"
+
 // Fleet is who there is.
 type Fleet struct {
 	Agents  int      `toml:"agents"`
 	Servers int      `toml:"servers"`
 	Zones   []string `toml:"zones"`
+	// State gives each agent a folder in which it keeps what it has learned.
+	State bool `toml:"state"`
 	// Near and Far are how long a message takes within a zone and between zones.
 	Near Duration `toml:"near"`
 	Far  Duration `toml:"far"`
@@ -215,7 +220,11 @@
 		}
 	}
 	for i, b := range f.Baselines {
-		if !slices.Contains(picker.Names(), b) {
+		if b == NoState {
+			if !f.Fleet.State {
+				bad(fmt.Sprintf("baselines[%d]", i), "the fleet has no state to be without")
+			}
+		} else if !slices.Contains(picker.Names(), b) {
 			bad(fmt.Sprintf("baselines[%d]", i), "%q is none of %s", b, strings.Join(picker.Names(), ", "))
 		}
 	}
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -72,7 +72,9 @@
 	}
 	played := map[string]*tally{}
 	for _, name := range append([]string{"agents"}, f.Baselines...) {
-		p := &play{file: f, fleet: fl, cfg: cfg, plan: plan, set: set, opt: opt, name: name}
+		of := fl
+		of.State = fl.State && name != NoState
+		p := &play{file: f, fleet: of, cfg: cfg, plan: plan, set: set, opt: opt, name: name}
 		t, err := p.run(ctx, r)
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", name, err)
@@ -173,7 +175,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, fmt.Errorf("experiment: %w", err)
 	}
-	agents := p.name == "agents"
+	agents := p.name == "agents" || p.name == NoState
 	w, err := build(ctx, p.fleet, p.set, p.cfg, p.opt.Seed, p.opt.Bin, dir, agents)
 	if err != nil {
 		return nil, err
@@ -243,8 +245,10 @@
 func (p *play) timeline(ctx context.Context, w *world, agents bool, r *report.Report) {
 	for i := range p.file.Fault {
 		f := &p.file.Fault[i]
-		if agents {
+		if p.name == "agents" {
 			r.Faults = append(r.Faults, report.Span{Kind: f.Kind, From: time.Duration(f.At), To: time.Duration(f.At + f.For)})
+		} else if agents {
+			// the same for those without state
 		} else if strings.HasSuffix(f.Kind, "-agents") || strings.HasSuffix(f.Kind, "-discovery") {
 			continue
 		}
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -122,6 +122,17 @@
 		}
 	}()
 	w.effects = emu.NewEffects(w.effectsWindow())
+	if fl.State { // of this play alone
+		old, err := filepath.Glob(filepath.Join(dir, "*.state"))
+		if err != nil {
+			return nil, fmt.Errorf("experiment: %w", err)
+		}
+		for _, o := range old {
+			if err := os.RemoveAll(o); err != nil {
+				return nil, fmt.Errorf("experiment: %w", err)
+			}
+		}
+	}
 	if w.net, err = claimNetwork(); err != nil {
 		return nil, err
 	}
@@ -342,7 +353,16 @@
 	if err := os.WriteFile(path, text, 0o644); err != nil {
 		return fmt.Errorf("experiment: configuration: %w", err)
 	}
-	p, err := w.group.Start(procs.Spec{Name: a.name, Path: w.bin, Env: []string{"PROXY_CONFIG=" + path, "PROXY_NAME=" + a.name,
+	var args []string
+	if w.fleet.State {
+		ops := filepath.Join(w.dir, a.name+".toml")
+		text := fmt.Sprintf("[state]\ndir = %q\nevery = \"500ms\"\n", filepath.Join(w.dir, a.name+".state"))
+		if err := os.WriteFile(ops, []byte(text), 0o644); err != nil {
+			return fmt.Errorf("experiment: operations file: %w", err)
+		}
+		args = []string{"agent", "--ops", ops}
+	}
+	p, err := w.group.Start(procs.Spec{Name: a.name, Path: w.bin, Args: args, Env: []string{"PROXY_CONFIG=" + path, "PROXY_NAME=" + a.name,
 		"PROXY_LISTEN=" + addr, "PROXY_DISCOVERY=" + discovery}, Log: filepath.Join(w.dir, a.name+".log")})
 	if err != nil {
 		return err
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -12,7 +12,7 @@
 )
 
 var (
-	shade = color.RGBA{R: 200, G: 60, B: 60, A: 40}
+	shade = color.NRGBA{R: 200, G: 60, B: 60, A: 40}
 	lines = []color.Color{color.RGBA{R: 0x1b, G: 0x7a, B: 0x3d, A: 255}, color.RGBA{R: 0xd9, G: 0x82, B: 0x1a, A: 255},
 		color.RGBA{R: 0x1f, G: 0x5f, B: 0xb4, A: 255}, color.RGBA{R: 0xb0, G: 0x2a, B: 0x2a, A: 255}, color.RGBA{R: 0x6b, G: 0x4c, B: 0x9a, A: 255}}
 )
@@ -55,25 +55,20 @@
 	p.Legend.Top = true
 	p.Y.Min, p.X.Min, p.X.Max = 0, 0, float64(len(r.Plays[0].Seconds))
 	top := 1.0
+	drawn := make([]plotter.XYs, len(curves))
 	for i, c := range curves {
-		var xy plotter.XYs
 		for j := range r.Plays[0].Seconds {
 			v := c.at(&r.Plays[0].Seconds[j])
 			if math.IsNaN(v) || math.IsInf(v, 0) {
 				v = 0
 			}
 			top = max(top, v)
-			xy = append(xy, plotter.XY{X: float64(j) + 0.5, Y: v})
+			drawn[i] = append(drawn[i], plotter.XY{X: float64(j) + 0.5, Y: v})
 		}
-		l, err := plotter.NewLine(xy)
-		if err != nil {
-			return fmt.Errorf("report: %s: %w", path, err)
-		}
-		l.Color, l.Width = lines[i%len(lines)], vg.Points(1.5)
-		p.Add(l)
-		p.Legend.Add(c.name, l)
 	}
-	p.Y.Max = top * 1.15
+	// Behind the lines: the grid, and when faults held.
+	p.Y.Max = top * 1.4 // with room for the legend
+	p.Add(plotter.NewGrid())
 	for _, f := range r.Faults {
 		from, to := f.From.Seconds(), max(f.To.Seconds(), f.From.Seconds()+0.2)
 		box, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: p.Y.Max}, {X: from, Y: p.Y.Max}})
@@ -83,7 +78,15 @@
 		box.Color, box.LineStyle.Width = shade, 0
 		p.Add(box)
 	}
-	p.Add(plotter.NewGrid())
+	for i, c := range curves {
+		l, err := plotter.NewLine(drawn[i])
+		if err != nil {
+			return fmt.Errorf("report: %s: %w", path, err)
+		}
+		l.Color, l.Width = lines[i%len(lines)], vg.Points(1.5)
+		p.Add(l)
+		p.Legend.Add(c.name, l)
+	}
 	if err := p.Save(18*vg.Centimeter, 8*vg.Centimeter, path); err != nil {
 		return fmt.Errorf("report: %s: %w", path, err)
 	}
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chalkdoor.example/chalkdoor/internal/agent"
+	"chalkdoor.example/chalkdoor/policy"
 )
 
 // state collects what the agent holds at the moment of a scrape.
@@ -21,9 +22,6 @@
 	value func(*agent.Stats) float64
 }
 
-// stateNames are the four states in tier order.
-var stateNames = [...]string{"connected", "unknown", "unhealthy_pending", "unhealthy"}
-
 func newState() *state {
 	s := &state{servers: prometheus.NewDesc("chalkdoor_servers", "Listed servers by state.", []string{"state"}, nil)}
 	add := func(name, help string, value func(*agent.Stats) float64) {
@@ -66,7 +64,7 @@
 		return
 	}
 	for i, n := range x.States {
-		out <- prometheus.MustNewConstMetric(s.servers, prometheus.GaugeValue, float64(n), stateNames[i])
+		out <- prometheus.MustNewConstMetric(s.servers, prometheus.GaugeValue, float64(n), policy.StateNames[i])
 	}
 	for _, g := range s.gauges {
 		out <- prometheus.MustNewConstMetric(g.desc, prometheus.GaugeValue, g.value(&x))
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/BurntSushi/toml"
 )
@@ -30,6 +31,7 @@
 	Agent   Agent   `toml:"agent" doc:"What the platform tells by environment variables, where it sets none of them."`
 	Log     Log     `toml:"log" doc:"The log, on standard error."`
 	Metrics Metrics `toml:"metrics" doc:"Counters and histograms for a monitoring system, off by default."`
+	State   State   `toml:"state" doc:"What the agent has learned, kept on disk for its next life, off by default."`
 }
 
 // Agent stands in for the environment; a variable that is set wins over it.
@@ -52,6 +54,25 @@
 	Runtime bool   `toml:"runtime" restart:"yes" doc:"Also figures of the Go runtime and of the process."`
 }
 
+// State says where and how often what the agent has learned is kept.
+type State struct {
+	Dir   string   `toml:"dir" restart:"yes" doc:"Folder of this agent alone; empty: nothing is kept."`
+	Every Duration `toml:"every" restart:"yes" doc:"Time between two saves, 100ms to 1h."`
+}
+
+// Duration is written as "1.5s" in a file.
+type Duration time.Duration
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// GoString is the duration as a file has it.
+func (d Duration) GoString() string { return strconv.Quote(time.Duration(d).String()) }
+
 // The words that keys of the log may have.
 var (
 	Formats = []string{"text", "json"}
@@ -60,7 +81,7 @@
 
 // Default is the file that says nothing.
 func Default() File {
-	return File{Log: Log{Format: "text", Level: "info"}}
+	return File{Log: Log{Format: "text", Level: "info"}, State: State{Every: Duration(time.Second)}}
 }
 
 // Error is one thing that is wrong with an operations file.
@@ -160,6 +181,9 @@
 	address("agent.listen", f.Agent.Listen)
 	address("agent.discovery", f.Agent.Discovery)
 	address("metrics.address", f.Metrics.Address)
+	if every := time.Duration(f.State.Every); every < 100*time.Millisecond || every > time.Hour {
+		wrong = append(wrong, &Error{Key: "state.every", Text: fmt.Sprintf("%v is not 100ms to 1h", every)})
+	}
 	oneOf("log.format", f.Log.Format, Formats)
 	oneOf("log.level", f.Log.Level, Levels)
 	return wrong
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -33,6 +33,8 @@
 		{"[metrics]\naddress = \"here\"", `f.toml: metrics.address: "here" is no host:port`},
 		{"[agent]\nlisten = \"127.0.0.1:0\"", `f.toml: agent.listen: "127.0.0.1:0" is no host:port`},
 		{"[agent]\ndiscovery = \"127.0.0.1:70000\"", `f.toml: agent.discovery: "127.0.0.1:70000" is no host:port`},
+		{"[state]\nevery = \"1ms\"", "f.toml: state.every: 1ms is not 100ms to 1h"},
+		{"[state]\nevery = \"soon\"", "f.toml"},
 		{"[log\n", "f.toml:2: "},
 		{"[log]\nlevel = \"info\"\nlevel = \"warn\"", "f.toml:3: log.level: "},
 	} {
--- a/policy/types.go
+++ b/policy/types.go
@@ -24,6 +24,9 @@
 	Unhealthy
 )
 
+// StateNames name the states in their order.
+var StateNames = [...]string{"connected", "unknown", "unhealthy_pending", "unhealthy"}
+
 // Effect tells whether a request of a class may run more than once.
 type Effect string
 
