Drop two dead fields of the emulator, and end reset connections on the caller

The fields are gone; connections are reset by whoever asks.

go test -race -count=2 of emu, link and experiment: no failure.

--- a/internal/lab/emu/server.go
+++ b/internal/lab/emu/server.go
@@ -41,7 +41,6 @@
 	MaxConns    int     // 0: no bound
 	IdleFor     time.Duration
 	Noise       float64 // of load reports: up to so much more or less
-	KeyWindow   time.Duration
 }
 
 // Faults are what a server does wrong at a moment.
@@ -113,12 +112,11 @@
 type Stats struct {
 	Connections, Probes, Ran, TurnedAway int
 	KeysKnown, KeysMet                   int
-	CrossZone                            int
 	Pressed                              float64 // the most a cold life was offered, as a part of what topples it
 	Toppled                              bool
 }
 
-type zoneKey struct{}
+type nearKey struct{}
 
 // NewServer returns a server that has been up for long.
 func NewServer(cfg ServerConfig, work Work, log *referee.Log, effects *Effects) *Server {
@@ -128,7 +126,7 @@
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headTime, IdleTimeout: cfg.IdleFor, ConnState: s.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			if from, ok := c.(interface{ From() string }); ok {
-				return context.WithValue(ctx, zoneKey{}, from.From())
+				return context.WithValue(ctx, nearKey{}, from.From())
 			}
 			return ctx
 		}, ErrorLog: nil}
@@ -266,8 +264,8 @@
 
 // ServeHTTP answers one request, as the protocol says.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	from, _ := r.Context().Value(zoneKey{}).(string)
-	agent, zone, _ := strings.Cut(from, "@")
+	from, _ := r.Context().Value(nearKey{}).(string)
+	agent, _, _ := strings.Cut(from, "@")
 	if r.Method == http.MethodGet && (r.URL.Path == "/-/load" || r.URL.Path == "/-/healthy") {
 		s.probe(w, r.URL.Path == "/-/load")
 		return
@@ -288,7 +286,7 @@
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBody)); err != nil {
 		return // it never came whole, so it never ran
 	}
-	answer := s.run(r.Context(), e, keyOf(r.URL.EscapedPath()), work, zone != "" && zone != s.cfg.Zone)
+	answer := s.run(r.Context(), e, keyOf(r.URL.EscapedPath()), work)
 	switch answer {
 	case served:
 		w.Header().Set("Content-Type", "text/plain")
@@ -328,11 +326,8 @@
 )
 
 // run does the work of a request and tells how it is answered.
-func (s *Server) run(ctx context.Context, e referee.Event, key uint64, work float64, cross bool) answer {
+func (s *Server) run(ctx context.Context, e referee.Event, key uint64, work float64) answer {
 	s.mu.Lock()
-	if cross {
-		s.stats.CrossZone++
-	}
 	note := func(k referee.Kind) {
 		e.Kind, e.At = k, 0
 		s.log.Add(e)
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -12,9 +12,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -120,10 +122,7 @@
 	l.mu.Lock()
 	ln, filler := l.ln, l.filler
 	l.ln, l.filler, l.down = nil, nil, true
-	conns := make([]*conn, 0, len(l.conns))
-	for c := range l.conns {
-		conns = append(conns, c)
-	}
+	conns := slices.Collect(maps.Keys(l.conns))
 	l.mu.Unlock()
 	if ln != nil {
 		ln.Close()
@@ -165,9 +164,10 @@
 // Reset resets all open connections; new ones come up.
 func (l *Link) Reset() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.conns {
-		go c.reset()
+	conns := slices.Collect(maps.Keys(l.conns))
+	l.mu.Unlock()
+	for _, c := range conns { // each takes the lock
+		c.reset()
 	}
 }
 
