--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -48,7 +48,7 @@
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	if seen.Get("Request-Id") != "1" || seen.Get("Idempotency-Key") != "k1" {
+	if seen.Get("Request-Id") != req.Header.Get("Request-Id") || seen.Get("Idempotency-Key") != "k1" {
 		t.Errorf("the backend got %v", seen)
 	}
 	var left int
@@ -431,7 +431,7 @@
 	defer busy.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 	defer cancel()
-	d := newDiscovery(ctx, busy.Listener.Addr().String())
+	d := newDiscovery(ctx, busy.Listener.Addr().String(), (&net.Dialer{}).DialContext)
 	d.told = func(*List, bool, error) {}
 	from := time.Now()
 	d.watch(1, false)
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -80,14 +80,16 @@
 	told func(l *List, watch bool, err error)
 }
 
-func newDiscovery(ctx context.Context, addr string) *discovery {
-	dialer := net.Dialer{Timeout: callGrace}
+// dialer opens connections to a discovery.
+type dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
+func newDiscovery(ctx context.Context, addr string, dial dialer) *discovery {
 	ctx, end := context.WithCancel(ctx)
 	return &discovery{
 		ctx: ctx, end: end, addr: addr,
 		url: "http://" + addr + "/api/targets",
 		client: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4,
+			DialContext: dial, MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4,
 			IdleConnTimeout: time.Minute, DisableCompression: true,
 		}},
 		limit: rate.NewLimiter(callsPerS, callBurst),
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -7,6 +7,7 @@
 	"context"
 	"hash/fnv"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -38,6 +39,7 @@
 	sender   *sender
 	budget   *semaphore.Weighted // memory for bodies
 	disc     *discovery
+	dial     dialer        // to it
 	limit    *rate.Limiter // the log is bounded work on one core
 	lines    chan func()   // log lines on their way to whoever reads the log
 
@@ -117,7 +119,8 @@
 	l := &loop{cfg: cfg, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
 		budget: semaphore.NewWeighted(cfg.budget()), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		started: now, baseMs: float64(now.UnixMicro()) / 1000,
-		requests: map[policy.RequestID]*request{}, ids: map[string]*request{}, ready: ready, observer: deaf{}}
+		requests: map[policy.RequestID]*request{}, ids: map[string]*request{}, ready: ready, observer: deaf{},
+		dial: (&net.Dialer{Timeout: callGrace}).DialContext}
 	l.sender = newSender(cfg, l.budget)
 	l.discover(cfg.Discovery)
 	return l, nil
@@ -126,7 +129,7 @@
 // discover makes an address the one that is asked. What another still has to say is
 // dropped: it comes late, and its versions are not those of this one.
 func (l *loop) discover(addr string) {
-	d := newDiscovery(l.ctx, addr)
+	d := newDiscovery(l.ctx, addr, l.dial)
 	d.told = func(list *List, watch bool, err error) {
 		l.post(func() {
 			if l.disc == d {
--- /dev/null
+++ b/internal/agent/silence_test.go
@@ -0,0 +1,296 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// quietDiscovery answers calls over pipes, so that it can be met in simulated time. A call
+// that it does not answer stays open, as one whose connection was cut does.
+type quietDiscovery struct {
+	mu    sync.Mutex
+	list  List
+	deaf  bool      // to calls that come from now on
+	calls int       // so far, and
+	lost  int       // up to which of them none is ever answered
+	since time.Time // of the last of them
+	wake  chan struct{}
+}
+
+func newQuiet(servers ...Target) *quietDiscovery {
+	return &quietDiscovery{list: List{Version: 1, Full: true, Servers: servers}, wake: make(chan struct{})}
+}
+
+// change does something to it and wakes its watches.
+func (q *quietDiscovery) change(do func()) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	do()
+	close(q.wake)
+	q.wake = make(chan struct{})
+}
+
+func (q *quietDiscovery) drain(id string) {
+	q.change(func() {
+		q.list.Version++
+		for i := range q.list.Servers {
+			if q.list.Servers[i].ID == id {
+				q.list.Servers[i].State = "draining"
+			}
+		}
+	})
+}
+
+// opened waits for the first call and tells when it came.
+func (q *quietDiscovery) opened() time.Time {
+	for {
+		q.mu.Lock()
+		calls, since := q.calls, q.since
+		q.mu.Unlock()
+		if calls > 0 {
+			return since
+		}
+		time.Sleep(time.Millisecond) // simulated
+	}
+}
+
+func (q *quietDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	index, err := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	over := time.After(time.Duration(wait) * time.Millisecond)
+	q.mu.Lock()
+	q.calls++
+	q.since = time.Now()
+	call, deaf := q.calls, q.deaf
+	q.mu.Unlock()
+	if deaf {
+		<-r.Context().Done()
+		return
+	}
+	for ended := err != nil; ; {
+		q.mu.Lock()
+		l, wake, silent := q.list, q.wake, call <= q.lost
+		q.mu.Unlock()
+		if !silent && (ended || l.Version > index) {
+			_ = json.NewEncoder(w).Encode(l)
+			return
+		}
+		select {
+		case <-wake:
+		case <-over:
+			ended = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// pipes is a network on which a discovery is reached by an address.
+type pipes struct {
+	ctx  context.Context // of the test
+	mu   sync.Mutex
+	ends map[string]chan net.Conn
+}
+
+func (p *pipes) serve(ctx context.Context, addr string, h http.Handler) {
+	conns := make(chan net.Conn)
+	p.mu.Lock()
+	p.ends[addr] = conns
+	p.mu.Unlock()
+	srv := &http.Server{Handler: h}
+	go func() { _ = srv.Serve(&pipeListener{ctx, conns}) }()
+	context.AfterFunc(ctx, func() { srv.Close() })
+}
+
+func (p *pipes) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	p.mu.Lock()
+	conns := p.ends[addr]
+	p.mu.Unlock()
+	near, far := net.Pipe()
+	select {
+	case conns <- far:
+		return near, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-p.ctx.Done(): // the transport goes on with a call that nobody waits for
+		return nil, p.ctx.Err()
+	}
+}
+
+type pipeListener struct {
+	ctx   context.Context
+	conns chan net.Conn
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.ctx.Done():
+		return nil, net.ErrClosed
+	}
+}
+func (l *pipeListener) Close() error   { return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// quietAgent is a loop with its discovery on pipes, in a bubble of simulated time.
+type quietAgent struct {
+	t    *testing.T
+	net  *pipes
+	loop *loop
+}
+
+func startQuiet(t *testing.T, q *quietDiscovery, known List, membership string) *quietAgent {
+	ctx, stop := context.WithCancel(context.Background())
+	a := &quietAgent{t: t, net: &pipes{ctx: ctx, ends: map[string]chan net.Conn{}}}
+	a.net.serve(ctx, "one:1", q)
+	cfg, err := testConfig("127.0.0.1:1", "one:1", known)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Settings.Membership = membership
+	if a.loop, err = newLoop(ctx, cfg, func() {}); err != nil {
+		t.Fatal(err)
+	}
+	a.loop.dial = a.net.dial
+	a.loop.discover("one:1")
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		a.loop.run()
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+		synctest.Wait()
+	})
+	return a
+}
+
+// sendsTo tells whether the agent would still send to a backend.
+func (a *quietAgent) sendsTo(id string) bool {
+	got := make(chan bool, 1)
+	a.loop.post(func() {
+		b := a.loop.table.byID[id]
+		got <- b != nil && !b.closed.Load()
+	})
+	return <-got
+}
+
+// knows fails the test unless the agent has stopped to send to a backend by a moment.
+func (a *quietAgent) knows(id string, by time.Time) {
+	a.t.Helper()
+	time.Sleep(time.Until(by))
+	synctest.Wait()
+	if a.sendsTo(id) {
+		a.t.Errorf("the agent still sends to %s, which it counts as told of", id)
+	}
+}
+
+const (
+	// what the page says of silence: news counts as told so long after a watch fell silent, or
+	// so long after the end of its wait where that is later; after SIGHUP; and the grace for
+	// new sends after that.
+	silenceTold, waitTold, hupTold = 6 * time.Second, 2 * time.Second, 4 * time.Second
+	// atOnce is what an agent may take for what it counts as told from the first moment.
+	atOnce = 250 * time.Millisecond
+)
+
+// Each sentence of the standing test's page on what counts as told, in simulated time. Where
+// changes are pushed or asked for the clock is the same.
+func TestSilence(t *testing.T) {
+	two := func() []Target { return []Target{target("s-1", "127.0.0.1:2"), target("s-2", "127.0.0.1:3")} }
+	each := func(name string, play func(t *testing.T, membership string)) {
+		for _, membership := range []string{"pushed", "on_request"} {
+			t.Run(name+" "+membership, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { play(t, membership) })
+			})
+		}
+	}
+	// An open watch that is well tells at once.
+	each("well", func(t *testing.T, membership string) {
+		q := newQuiet(two()...)
+		a := startQuiet(t, q, q.list, membership)
+		time.Sleep(3 * time.Second)
+		q.drain("s-1")
+		a.knows("s-1", time.Now().Add(atOnce))
+	})
+	// A watch falls silent at the start, in the middle or at the end of its wait: what comes
+	// after is had from the next in time, whether it came at once or late.
+	for _, into := range []time.Duration{0, 4 * time.Second, watchWait - time.Millisecond} {
+		for _, news := range []time.Duration{0, 5 * time.Second} {
+			each("silent after "+into.String()+" news after "+news.String(), func(t *testing.T, membership string) {
+				q := newQuiet(two()...)
+				a := startQuiet(t, q, q.list, membership)
+				opened := q.opened()
+				time.Sleep(time.Until(opened.Add(into)))
+				synctest.Wait()
+				q.change(func() { q.lost = q.calls })
+				fell := time.Now()
+				time.Sleep(news)
+				q.drain("s-1")
+				told := later(fell.Add(silenceTold), opened.Add(watchWait+waitTold))
+				a.knows("s-1", told)
+			})
+		}
+	}
+	// Where lists are pushed, what the agent has counts as told from the first moment of a new
+	// process, however old the list that it was started with.
+	t.Run("restart", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			q := newQuiet(two()...)
+			old := List{Version: 1, Full: true, Servers: two()}
+			q.drain("s-1")
+			a := startQuiet(t, q, old, "pushed")
+			a.knows("s-1", time.Now().Add(atOnce))
+		})
+	})
+	// The same after an outage that a process was started in: it began with a silent call.
+	t.Run("restart in an outage", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			q := newQuiet(two()...)
+			old := List{Version: 1, Full: true, Servers: two()}
+			q.change(func() { q.deaf = true })
+			q.drain("s-1")
+			a := startQuiet(t, q, old, "pushed")
+			opened := q.opened()
+			time.Sleep(3 * time.Second)
+			q.change(func() { q.deaf = false })
+			a.knows("s-1", opened.Add(watchWait+waitTold))
+		})
+	})
+	// After SIGHUP what the new discovery has counts 4 s later, though the watch on the old one
+	// is silent, and though the new one does not hear the first call.
+	for _, deaf := range []time.Duration{0, time.Second, 2500 * time.Millisecond} {
+		each("SIGHUP, deaf for "+deaf.String(), func(t *testing.T, membership string) {
+			q, next := newQuiet(two()...), newQuiet(two()...)
+			a := startQuiet(t, q, q.list, membership)
+			time.Sleep(time.Second)
+			q.change(func() { q.lost = q.calls })
+			next.drain("s-1")
+			next.change(func() { next.deaf = deaf > 0 })
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			a.net.serve(ctx, "two:2", next)
+			hup := time.Now()
+			a.loop.post(func() { a.loop.rediscover("two:2") })
+			time.Sleep(deaf)
+			next.change(func() { next.deaf = false })
+			a.knows("s-1", hup.Add(hupTold))
+		})
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
