Let the laboratory's servers not hang on a time that rounds to just before a stall

At fault: after (server.go), which goes through the periods one by one: with now at 1e6 ms a phase can round to a period less 1e-10, the time then no longer moves, and 50 ms of work are taken off in steps of 1e-10.

Change: whole periods at once. Result: TestWorkPastStalls, which does not end before.

--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -223,22 +223,22 @@
 	if every <= length || length <= 0 {
 		return now + took
 	}
-	for {
-		phase := math.Mod(now-s.cfg.StallAtMs, every)
-		if phase < 0 {
-			phase += every
-		}
-		if phase < length {
-			now += length - phase
-			phase = length
-		}
-		if free := every - phase; took > free {
-			took -= free
-			now += free
-			continue
-		}
+	phase := math.Mod(now-s.cfg.StallAtMs, every)
+	if phase < 0 {
+		phase += every
+	}
+	if phase < length {
+		now, phase = now+length-phase, length
+	}
+	free := every - phase
+	if took <= free {
 		return now + took
 	}
+	// Whole periods at once: step by step a phase that is rounded to just under a period
+	// would be gone through without end.
+	took -= free
+	periods := math.Ceil(took/(every-length)) - 1
+	return now + free + periods*every + length + took - periods*(every-length)
 }
 
 // knows tells whether it still remembers a key, and lets it remember it.
--- a/internal/lab/model/server_test.go
+++ b/internal/lab/model/server_test.go
@@ -111,3 +111,18 @@
 		t.Error("only what waits can be withdrawn")
 	}
 }
+
+// Work stands still in each stall, also where a time falls just before one by rounding: a
+// play hung there, as the time no longer moved.
+func TestWorkPastStalls(t *testing.T) {
+	s := &Server{cfg: Config{StallEveryMs: 1000, StallForMs: 200}}
+	for _, c := range []struct{ now, took, want float64 }{
+		{200, 800, 1000}, {200, 801, 1201}, {0, 10, 210}, {100, 10, 210}, {300, 100, 400},
+		{900, 100 + 800 + 800 + 1, 3201}, {900, 100 + 800, 2000},
+		{math.Nextafter(1050000, 0), 50, 1050250}, {1050000, 50, 1050250},
+	} {
+		if got := s.after(c.now, c.took); math.Abs(got-c.want) > 1e-6 {
+			t.Errorf("%v ms of work from %v end at %v, want %v", c.took, c.now, got, c.want)
+		}
+	}
+}
