Add ejection by vote as a pure core, with its bound derived and a site in simulated time

Need: agents of a site are to eject a report server together, by what each saw, and never more than a stated part of a zone, whatever is lost, late, paused or restarted.

Change: internal/ballot. Leaderless: a voter's letter is its whole state (suspect, grant, deny, abstain with the reason), so any may be lost. A grant is dated by the echo of the reader's own stamp, without any bound on the network. Voters that start again abstain until what they may have promised has lapsed. A grant is given only once a majority suspects, so that a lone failure uses nothing up; a renewal needs evidence of its own within its age and anybody's newer than the grant; trials are drawn by hash, a few for each lease; returns go by 0.1, 0.3 and 1; further ejections last longer.

--- /dev/null
+++ b/internal/ballot/core_test.go
@@ -0,0 +1,355 @@
+package ballot
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"chalkdoor.example/chalkdoor/internal/evidence"
+)
+
+// settled is a site whose voters may vote.
+func settled(t testing.TB, seed uint64, members, hosts int) *sim {
+	s := newSim(t, seed, members, hosts, 1)
+	s.run(s.cfg.Longest + time.Second)
+	if len(s.ejected) > 0 {
+		t.Fatalf("ejected in calm: %v", s.ejected)
+	}
+	return s
+}
+
+func TestABadHostIsEjectedByAllAndReturnsBySteps(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 13, 40} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			s := settled(t, 1, n, 12)
+			h := s.hosts[3].Host
+			s.bad[h] = evidence.Failed
+			s.run(2 * time.Second)
+			if got := s.holding(h); got != n {
+				t.Fatalf("%d of %d hold it ejected, notes %v", got, n, s.notes)
+			}
+			if len(s.ejected) != 1 {
+				t.Errorf("also ejected: %v", s.ejected)
+			}
+			delete(s.bad, h)
+			s.run(s.cfg.Longest + 2*time.Second)
+			if got := s.holding(h); got != 0 {
+				t.Errorf("%d of %d still hold it ejected when it is well", got, n)
+			}
+			// Each saw it come back by all steps.
+			if got := s.count("return", &h); got < n {
+				t.Errorf("%d returns at %d members", got, n)
+			}
+			for _, m := range s.members {
+				if st, ok := m.table[h]; ok && st.Part != 1 {
+					t.Errorf("%s gives it %v", m.name, st.Part)
+				}
+			}
+		})
+	}
+}
+
+func TestStepsOfAReturn(t *testing.T) {
+	s := settled(t, 2, 3, 12)
+	h := s.hosts[0].Host
+	s.bad[h] = evidence.Failed
+	for s.holding(h) < 3 {
+		s.run(tick)
+	}
+	delete(s.bad, h)
+	var parts []float64
+	for range 400 {
+		s.run(tick)
+		st, ok := s.members[0].table[h]
+		part := 1.0
+		if ok && !st.Try || ok && st.Part < 1 {
+			part = st.Part
+		}
+		if len(parts) == 0 || parts[len(parts)-1] != part {
+			parts = append(parts, part)
+		}
+	}
+	for i, p := range parts[1:] { // up by one step at a time, down to any
+		if at := slices.Index(steps[:], parts[i]); p > parts[i] && (at+1 >= len(steps) || p != steps[at+1]) {
+			t.Errorf("parts %v", parts)
+		}
+	}
+	if parts[0] != 0 || parts[len(parts)-1] != 1 {
+		t.Errorf("parts %v, want from 0 to 1", parts)
+	}
+}
+
+// A host that stays bad stays out, but for trials, and each ejection is longer.
+func TestFurtherEjectionsLastLonger(t *testing.T) {
+	s := settled(t, 3, 3, 12)
+	h := s.hosts[0].Host
+	for range 3 {
+		s.bad[h] = evidence.Failed
+		s.run(2 * time.Second)
+		delete(s.bad, h)
+		s.run(5 * time.Second)
+	}
+	var lengths []time.Duration
+	for i, n := range s.notes {
+		if n.Kind == "grant" && s.by[i] == "n0" {
+			lengths = append(lengths, n.Until)
+		}
+	}
+	if first, last := lengths[0], lengths[len(lengths)-1]; first != s.cfg.Lease || last != s.cfg.Longest {
+		t.Errorf("lengths of the grants: %v", lengths)
+	}
+	if s.failed > 60 {
+		t.Errorf("%d attempts failed", s.failed)
+	}
+}
+
+// One that is bad for all its life is met by trials alone.
+func TestAnEjectedHostGetsTrialsOnly(t *testing.T) {
+	s := settled(t, 4, 5, 12)
+	h := s.hosts[0].Host
+	s.bad[h] = evidence.Silent
+	s.run(time.Second)
+	before := s.failed
+	s.run(10 * time.Second)
+	// Some in each lease, and what comes between a lapse and the next majority.
+	if got := s.failed - before; got < 8 || got > 40 {
+		t.Errorf("%d attempts failed in 10 s", got)
+	}
+	held := 0
+	for range 200 {
+		s.run(tick)
+		if s.holding(h) == 5 {
+			held++
+		}
+	}
+	if held < 180 {
+		t.Errorf("all held it ejected in %d of 200 ticks", held)
+	}
+}
+
+// Half of all hosts bad: never more than the cap (checked at each step), and once most of
+// what an observer meets looks bad, nobody votes.
+func TestCapAndPanic(t *testing.T) {
+	s := settled(t, 5, 7, 12)
+	for _, h := range s.hosts[:8] {
+		s.bad[h.Host] = evidence.Failed
+	}
+	s.run(3 * time.Second)
+	for _, h := range s.hosts {
+		if got := s.holding(h.Host); got > 0 {
+			t.Errorf("%d members hold %v ejected in a panic", got, h.Host)
+		}
+	}
+	s = settled(t, 5, 7, 12)
+	for _, h := range s.hosts[:5] {
+		s.bad[h.Host] = evidence.Failed
+	}
+	s.run(3 * time.Second)
+	out := 0
+	for _, h := range s.hosts {
+		if s.holding(h.Host) == 7 {
+			out++
+		}
+	}
+	// Seven voters may promise 0.5*4/7 of 12 each: three hosts, which need not be the same.
+	if out < 3 || out > 6 {
+		t.Errorf("%d hosts are ejected by all, want 3 to 6", out)
+	}
+}
+
+// A bad link at three agents of thirteen makes every server look bad to them.
+func TestABadRackEjectsNobody(t *testing.T) {
+	s := settled(t, 6, 13, 12)
+	for range 80 {
+		for _, m := range s.members[:3] {
+			for _, h := range s.hosts {
+				now := s.clock(m)
+				m.log.Saw(evidence.Sight{Host: h.Host, Kind: evidence.Silent, OfAim: 1, Sent: now, At: now})
+			}
+		}
+		s.run(2 * tick)
+	}
+	if len(s.ejected) > 0 {
+		t.Errorf("ejected: %v", s.ejected)
+	}
+}
+
+// Liars under a majority remove nobody; under a third of them do not keep a bad host in.
+func TestLiars(t *testing.T) {
+	for _, c := range []struct{ members, liars int }{{3, 1}, {9, 2}, {13, 4}, {13, 6}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			s := settled(t, 7, c.members, 12)
+			well, ill := s.hosts[0].Host, s.hosts[1].Host
+			s.lying = func(m *member, l *Letter) {
+				if !slices.Contains(s.cfg.Roll.Members[:c.liars], m.name) {
+					return
+				}
+				l.Entries = []Entry{{Host: well, Answer: Grant, Attempts: 9, Bad: 9, Left: s.cfg.Lease}, {Host: ill, Answer: Deny, Attempts: 9, Left: s.cfg.Age}}
+			}
+			s.run(3 * time.Second)
+			s.bad[ill] = evidence.Failed
+			s.run(6 * time.Second)
+			if s.ejected[well] {
+				t.Errorf("a host that is well was ejected by %d liars of %d", c.liars, c.members)
+			}
+			if 3*c.liars < c.members && s.holding(ill) < c.members-c.liars {
+				t.Errorf("%d of %d hold the bad host ejected, %d lie", s.holding(ill), c.members, c.liars)
+			}
+		})
+	}
+}
+
+// A site in two halves and in three parts: a part without a majority ejects nothing, and
+// after the healing all have one view within the time of a beat to each.
+func TestSplit(t *testing.T) {
+	for _, parts := range []int{2, 3} {
+		s := settled(t, 8, 9, 12)
+		part := func(name string) int { // 5 and 4, or 3 each
+			i := slices.Index(s.cfg.Roll.Members, name)
+			return min(i*parts/9, parts-1)
+		}
+		s.cut = func(a, b string) bool { return part(a) != part(b) }
+		h := s.hosts[0].Host
+		s.bad[h] = evidence.Failed
+		s.run(3 * time.Second)
+		for _, m := range s.members {
+			in := 0
+			for _, o := range s.members {
+				if part(o.name) == part(m.name) {
+					in++
+				}
+			}
+			st, named := m.table[h]
+			ejected := named && st.Part == 0 && st.Until > s.clock(m)
+			if ejected != (in >= s.cfg.Roll.Quorum()) {
+				t.Errorf("%d parts: %s, one of %d, holds it ejected: %v", parts, m.name, in, ejected)
+			}
+		}
+		s.cut = func(string, string) bool { return false }
+		s.run(2 * time.Second)
+		if got := s.holding(h); got != 9 {
+			t.Errorf("%d parts: %d of 9 hold it ejected after the healing", parts, got)
+		}
+	}
+}
+
+// A host that started again during the vote is another.
+func TestAReplacedHostIsNotEjected(t *testing.T) {
+	s := settled(t, 9, 5, 12)
+	old := s.hosts[0].Host
+	s.bad[old] = evidence.Failed
+	s.run(100 * time.Millisecond)
+	s.hosts[0].Incarnation = 7
+	fresh := s.hosts[0].Host
+	for _, m := range s.members {
+		m.log.Listed(s.hosts)
+	}
+	s.run(3 * time.Second)
+	if s.ejected[fresh] {
+		t.Error("the new process was ejected for what the old one did")
+	}
+}
+
+// A voter that was paused for 10 s wakes with letters that came meanwhile: it counts no grant
+// that has lapsed.
+func TestAPausedMemberActsOnNothingStale(t *testing.T) {
+	s := settled(t, 10, 3, 12)
+	h := s.hosts[0].Host
+	s.bad[h] = evidence.Failed
+	s.run(300 * time.Millisecond)
+	m := s.members[2]
+	m.paused = s.now + 10*time.Second
+	s.run(time.Second)
+	for _, o := range s.members[:2] {
+		o.paused = s.now + 20*time.Second // the others say nothing newer
+	}
+	delete(s.bad, h)
+	s.run(9*time.Second + tick)
+	if st, ok := m.table[h]; ok && st.Part == 0 && st.Until > s.clock(m) {
+		t.Errorf("awake at %v it holds the host ejected until %v", s.clock(m), st.Until)
+	}
+}
+
+// Whatever is lost, repeated, late, paused, killed or cut: the cap holds over all views
+// together at each step.
+func TestTheCapHoldsUnderAllOfIt(t *testing.T) {
+	ejected, returned := 0, 0
+	for seed := range uint64(60) {
+		n := []int{2, 3, 5, 9}[seed%4]
+		s := newSim(t, 100+seed, n, 8, 2)
+		s.lose, s.late = 0.2, 400*time.Millisecond
+		for range 30 {
+			switch s.rng.IntN(6) {
+			case 0:
+				m := s.members[s.rng.IntN(n)]
+				m.paused = s.now + time.Duration(s.rng.Float64()*float64(6*time.Second))
+			case 1:
+				s.start(s.members[s.rng.IntN(n)])
+			case 2:
+				k := 1 + s.rng.IntN(n)
+				s.cut = func(a, b string) bool { return (a < fmt.Sprint("n", k)) != (b < fmt.Sprint("n", k)) }
+			case 3:
+				s.cut = func(string, string) bool { return false }
+			case 4:
+				s.bad[s.hosts[s.rng.IntN(8)].Host] = evidence.Failed
+			case 5:
+				clear(s.bad)
+			}
+			s.run(500 * time.Millisecond)
+		}
+		ejected += s.count("eject", nil)
+		returned += s.count("return", nil)
+	}
+	if ejected < 50 || returned < 50 {
+		t.Errorf("%d ejections, %d returns: too few to tell", ejected, returned)
+	}
+	t.Logf("%d ejections, %d returns", ejected, returned)
+}
+
+func TestLettersThatAreTurnedAway(t *testing.T) {
+	s := settled(t, 11, 3, 4)
+	c := s.members[0].core
+	good := Letter{Version: Version, From: "n1", Boot: 9, Roll: 1, Sent: time.Hour}
+	for want, change := range map[string]func(*Letter){
+		"version: 2":                 func(l *Letter) { l.Version = 2 },
+		"from: a name of 0 bytes":    func(l *Letter) { l.From = "" },
+		"from: z is not in the roll": func(l *Letter) { l.From = "z" },
+		"votes by roll 4, this is 1": func(l *Letter) { l.Roll = 4 },
+		"entries: 25":                func(l *Letter) { l.Entries = make([]Entry, 25) },
+		"entries[0].host: a name":    func(l *Letter) { l.Entries = make([]Entry, 1) },
+		"unknown answer 9":           func(l *Letter) { l.Entries = []Entry{{Host: evidence.Host{ID: "s"}, Answer: 9}} },
+		"entries[0].bad: 2 of 1":     func(l *Letter) { l.Entries = []Entry{{Host: evidence.Host{ID: "s"}, Attempts: 1, Bad: 2}} },
+		"entries[0].left":            func(l *Letter) { l.Entries = []Entry{{Host: evidence.Host{ID: "s"}, Left: time.Hour}} },
+		"s is named twice":           func(l *Letter) { l.Entries = []Entry{{Host: evidence.Host{ID: "s"}}, {Host: evidence.Host{ID: "s"}}} },
+		"must not be negative":       func(l *Letter) { l.Kept = -1 },
+	} {
+		l := good
+		change(&l)
+		if err := c.Receive(s.clock(s.members[0]), &l); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+	if err := c.Receive(s.clock(s.members[0]), &good); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestWhatIsWrongWithTheSettingsIsToldByKey(t *testing.T) {
+	for want, change := range map[string]func(*Config){
+		"cap:":                       func(c *Config) { c.Cap = 0.6 },
+		"lease:":                     func(c *Config) { c.Lease = c.Longest + 1 },
+		"longest:":                   func(c *Config) { c.Longest = time.Hour },
+		"age:":                       func(c *Config) { c.Age = 0 },
+		"electorate: nobody":         func(c *Config) { c.Roll.Members = nil },
+		`electorate: "a" is no name`: func(c *Config) { c.Roll.Members = []string{"a", "a"} },
+	} {
+		c := Defaults()
+		c.Self, c.Roll = "a", Roll{1, []string{"a", "b"}}
+		change(&c)
+		if _, err := New(c, evidence.New(time.Second)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+}
