Play votes on real processes: relays between agents, traces, invariants, vote-eject

Need: what is agreed has to be proven by processes with faults between them.

Change: a fleet with layer = true gets a relay for each agent, operations files and traces; the baseline alone is the same without; faults split-site, mute-agents and silence-servers; figures failed_attempts, ejections, eject_ms and peer_bytes_s. The referee checks the traces: no ejection without live grants of a strict majority with evidence of their own, the cap over all views together, nothing acted on past its time.

--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/lab/emu"
@@ -138,6 +139,30 @@
 	"error-servers": func(_ context.Context, w *world, f *Fault) (func() error, error) {
 		return w.fault(f, emu.Faults{Errors: f.Share})
 	},
+	// The agents of a zone are cut off from each other, in so many parts; all else is well.
+	"split-site": func(_ context.Context, w *world, f *Fault) (func() error, error) {
+		part, members := map[string]int{}, w.electorate(f.Zone)
+		for i, at := range w.rng.Perm(len(members)) {
+			part[members[at]] = 1 + i*max(f.Steps, 2)/len(members)
+		}
+		return w.cutPeers(func(from, to string) bool {
+			return part[from] > 0 && part[to] > 0 && part[from] != part[to]
+		})
+	},
+	// Some agents hear others, and are not heard.
+	"mute-agents": func(_ context.Context, w *world, f *Fault) (func() error, error) {
+		mute := map[string]bool{}
+		for _, a := range w.someAgents(f) {
+			mute[a.name] = true
+		}
+		return w.cutPeers(func(from, _ string) bool { return mute[from] })
+	},
+	// Servers fall silent to all, and the list tells nothing.
+	"silence-servers": func(_ context.Context, w *world, f *Fault) (func() error, error) {
+		hit := w.someServers(f)
+		w.befall(hit)
+		return w.cut(func(_ *agent, s *server) (bool, bool) { return slices.Contains(hit, s), slices.Contains(hit, s) })
+	},
 	"spoil-answers": func(_ context.Context, w *world, f *Fault) (func() error, error) {
 		return w.fault(f, emu.Faults{Spoilt: f.Share})
 	},
@@ -287,6 +312,7 @@
 // fault does to some servers, and ends with their being as made.
 func (w *world) fault(f *Fault, what emu.Faults) (func() error, error) {
 	hit := w.someServers(f)
+	w.befall(hit)
 	for _, s := range hit {
 		s.Fault(what)
 	}
@@ -298,6 +324,15 @@
 	}, nil
 }
 
+// befall notes when servers first turned bad.
+func (w *world) befall(hit []*server) {
+	for _, s := range hit {
+		if _, ok := w.fell[s.ID()]; !ok {
+			w.fell[s.ID()] = w.log.Now()
+		}
+	}
+}
+
 // cut cuts links and returns what heals them.
 func (w *world) cut(which func(*agent, *server) (to, from bool)) (heal func() error, err error) {
 	w.mu.Lock()
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -35,8 +35,14 @@
 	Baselines []string `toml:"baselines"`
 }
 
-// NoState is the baseline of the same agents without their folders.
-const NoState = "no-state"
+// Baselines of the same agents: without their folders, and without the layer.
+const (
+	NoState = "no-state"
+	Alone   = "alone"
+)
+
+// byAgents tells whether a play is one of agents.
+func byAgents(play string) bool { return play == "agents" || play == NoState || play == Alone }
 
 // Fleet is who there is.
 type Fleet struct {
@@ -45,11 +51,27 @@
 	Zones   []string `toml:"zones"`
 	// State gives each agent a folder in which it keeps what it has learned.
 	State bool `toml:"state"`
+	// Layer lets the agents of each zone eject servers by vote, with messages between them over
+	// links of the laboratory, and lets each write a trace of its votes.
+	Layer bool `toml:"layer"`
+	// Vote is what differs from the votes' defaults.
+	Vote Vote `toml:"vote"`
 	// Near and Far are how long a message takes within a zone and between zones.
 	Near Duration `toml:"near"`
 	Far  Duration `toml:"far"`
 }
 
+// Vote is how the agents of a zone vote, with the meaning of the same keys of an operations
+// file.
+type Vote struct {
+	Cap     float64  `toml:"cap"`
+	Lease   Duration `toml:"lease"`
+	Longest Duration `toml:"longest"`
+	Age     Duration `toml:"age"`
+	Step    Duration `toml:"step"`
+	Trial   Duration `toml:"trial"`
+}
+
 // Load is what clients want.
 type Load struct {
 	// Use is the part of the true capacity of all servers that is asked for, with no key known.
@@ -220,9 +242,9 @@
 		}
 	}
 	for i, b := range f.Baselines {
-		if b == NoState {
-			if !f.Fleet.State {
-				bad(fmt.Sprintf("baselines[%d]", i), "the fleet has no state to be without")
+		if b == NoState || b == Alone {
+			if b == NoState && !f.Fleet.State || b == Alone && !f.Fleet.Layer {
+				bad(fmt.Sprintf("baselines[%d]", i), "the fleet has nothing to be %s", b)
 			}
 		} else if !slices.Contains(picker.Names(), b) {
 			bad(fmt.Sprintf("baselines[%d]", i), "%q is none of %s", b, strings.Join(picker.Names(), ", "))
--- /dev/null
+++ b/internal/lab/experiment/layer.go
@@ -0,0 +1,262 @@
+package experiment
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"chalkdoor.example/chalkdoor/internal/lab/mesh"
+	"chalkdoor.example/chalkdoor/internal/lab/referee"
+	"chalkdoor.example/chalkdoor/internal/lab/report"
+	"chalkdoor.example/chalkdoor/internal/layer"
+	"chalkdoor.example/chalkdoor/internal/metrics"
+	"chalkdoor.example/chalkdoor/internal/ops"
+)
+
+const (
+	// peersPort and metricsPort are where agents listen for each other and for scrapes, each on
+	// its own address.
+	peersPort, metricsPort = 7946, 9100
+	// seeds is how many agents others are found through.
+	seeds = 3
+)
+
+// joinMesh puts a relay before each agent.
+func (w *world) joinMesh() error {
+	w.mesh = mesh.New(w.seed)
+	for _, a := range w.agents {
+		own := net.JoinHostPort(w.net.agent(a.index).String(), strconv.Itoa(peersPort))
+		var err error
+		if a.peers, err = w.mesh.Join(a.name, own, w.net.relay(a.index)); err != nil {
+			return err
+		}
+	}
+	w.setMesh()
+	return nil
+}
+
+// setMesh sets the ways between agents as distance and cuts say.
+func (w *world) setMesh() {
+	zones := map[string]string{}
+	for _, a := range w.agents {
+		zones[a.name] = a.zone
+	}
+	near, far, cuts := time.Duration(w.fleet.Near), time.Duration(w.fleet.Far), slices.Clone(w.peerCuts)
+	w.mesh.Set(func(from, to string) mesh.Quality {
+		q := mesh.Quality{Delay: far}
+		if zones[from] == zones[to] {
+			q.Delay = near
+		}
+		for _, cut := range cuts {
+			q.Cut = q.Cut || cut != nil && cut(from, to)
+		}
+		return q
+	})
+}
+
+// cutPeers cuts ways between agents and returns what heals them. Agents that act alone have
+// none.
+func (w *world) cutPeers(which func(from, to string) bool) (heal func() error, err error) {
+	if w.mesh == nil {
+		return nil, nil
+	}
+	w.peerCuts = append(w.peerCuts, which)
+	at := len(w.peerCuts) - 1
+	w.setMesh()
+	return func() error {
+		w.peerCuts[at] = nil
+		w.setMesh()
+		return nil
+	}, nil
+}
+
+// electorate is the agents of a zone.
+func (w *world) electorate(zone string) (names []string) {
+	for _, a := range w.agents {
+		if a.zone == zone {
+			names = append(names, a.name)
+		}
+	}
+	return names
+}
+
+// vote is how they vote.
+func (f *Fleet) vote() ops.Vote {
+	v := ops.Default().Vote
+	or(&v.Cap, f.Vote.Cap)
+	for _, x := range []struct {
+		to *ops.Duration
+		v  Duration
+	}{{&v.Lease, f.Vote.Lease}, {&v.Longest, f.Vote.Longest}, {&v.Age, f.Vote.Age}, {&v.Step, f.Vote.Step}, {&v.Trial, f.Vote.Trial}} {
+		or(x.to, ops.Duration(x.v))
+	}
+	return v
+}
+
+// operations writes an agent's operations file, where it is to have one, and returns the
+// program's arguments.
+func (w *world) operations(a *agent) (args []string, err error) {
+	var text strings.Builder
+	table := func(name string, keys map[string]any) {
+		if err == nil {
+			fmt.Fprintf(&text, "[%s]\n", name)
+			err = toml.NewEncoder(&text).Encode(keys)
+		}
+	}
+	ip := w.net.agent(a.index).String()
+	if w.fleet.State {
+		table("state", map[string]any{"dir": filepath.Join(w.dir, a.name+".state"), "every": "500ms"})
+	}
+	if w.scraped {
+		table("metrics", map[string]any{"address": net.JoinHostPort(ip, strconv.Itoa(metricsPort))})
+	}
+	if w.mesh != nil {
+		v := w.fleet.vote()
+		var first []string
+		for _, o := range w.agents[:min(seeds, len(w.agents))] {
+			first = append(first, o.peers)
+		}
+		table("fleet", map[string]any{"name": "laboratory", "bind": net.JoinHostPort(ip, strconv.Itoa(peersPort)), "advertise": a.peers,
+			"seeds": first, "trace": w.tracePath(a)})
+		table("vote", map[string]any{"electorate": w.electorate(a.zone), "cap": v.Cap, "lease": time.Duration(v.Lease).String(),
+			"longest": time.Duration(v.Longest).String(), "age": time.Duration(v.Age).String(), "step": time.Duration(v.Step).String(),
+			"trial": time.Duration(v.Trial).String()})
+	}
+	if err != nil || text.Len() == 0 {
+		return nil, err
+	}
+	path := filepath.Join(w.dir, a.name+".toml")
+	if err := os.WriteFile(path, []byte(text.String()), 0o644); err != nil {
+		return nil, fmt.Errorf("experiment: operations file: %w", err)
+	}
+	return []string{"agent", "--ops", path}, nil
+}
+
+func (w *world) tracePath(a *agent) string { return filepath.Join(w.dir, a.name+".trace") }
+
+// scrape adds up what the agents count of themselves.
+func (w *world) scrape(fig map[string]float64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyWithin)
+	defer cancel()
+	for _, a := range w.agents {
+		url := "http://" + net.JoinHostPort(w.net.agent(a.index).String(), strconv.Itoa(metricsPort)) + metrics.Path
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return fmt.Errorf("experiment: metrics: %w", err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return fmt.Errorf("experiment: metrics of %s: %w", a.name, err)
+		}
+		parser := expfmt.NewTextParser(model.LegacyValidation)
+		families, err := parser.TextToMetricFamilies(resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			return fmt.Errorf("experiment: metrics of %s: %w", a.name, err)
+		}
+		for _, m := range families["chalkdoor_attempts_total"].GetMetric() {
+			i := slices.IndexFunc(m.GetLabel(), func(l *dto.LabelPair) bool {
+				return l.GetName() == "outcome" && slices.Contains([]string{"error", "timeout", "connect_failed", "reset"}, l.GetValue())
+			})
+			if i >= 0 {
+				fig["failed_attempts"] += m.GetCounter().GetValue()
+				fig["failed_attempts, "+m.GetLabel()[i].GetValue()] += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return nil
+}
+
+// traces reads what all agents wrote of their votes, in the order of time.
+func (w *world) traces() (lines []layer.Line, err error) {
+	for _, a := range w.agents {
+		f, err := os.Open(w.tracePath(a))
+		if err != nil {
+			return nil, fmt.Errorf("experiment: trace: %w", err)
+		}
+		scan := bufio.NewScanner(f)
+		for scan.Scan() {
+			var l layer.Line
+			if err := json.Unmarshal(scan.Bytes(), &l); err != nil {
+				f.Close()
+				return nil, fmt.Errorf("experiment: trace of %s: %w", a.name, err)
+			}
+			lines = append(lines, l)
+		}
+		f.Close()
+		if err := scan.Err(); err != nil {
+			return nil, fmt.Errorf("experiment: trace of %s: %w", a.name, err)
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b layer.Line) int { return cmp.Compare(a.AtMs, b.AtMs) })
+	return lines, nil
+}
+
+// votes judges the traces by the layer's own invariants, and takes figures of them.
+func (p *play) votes(w *world, r *report.Report, fig map[string]float64) error {
+	lines, err := w.traces()
+	if err != nil {
+		return err
+	}
+	v := p.fleet.vote()
+	e := referee.Electorate{Zone: map[string]string{}, Members: map[string][]string{}, Cap: v.Cap, Weight: map[string]float64{}, HostZone: map[string]string{}}
+	for _, a := range w.agents {
+		e.Zone[a.name] = a.zone
+		e.Members[a.zone] = w.electorate(a.zone)
+	}
+	for _, s := range w.servers {
+		e.Weight[s.ID()], e.HostZone[s.ID()] = s.target.Weight, s.Zone()
+	}
+	var steps []referee.VoteStep
+	for _, l := range lines {
+		at := time.Duration(l.AtMs)*time.Millisecond - time.Duration(w.log.Began().UnixMilli())*time.Millisecond
+		steps = append(steps, referee.VoteStep{At: at, Agent: l.Agent, Boot: l.Boot, Kind: l.Kind, Host: l.Host, Incarnation: l.Incarnation,
+			Roll: l.Roll, Bad: l.Bad, Granters: l.Granters, Left: time.Duration(l.LeftMs) * time.Millisecond})
+	}
+	r.Violations = append(r.Violations, referee.CheckVotes(steps, e)...)
+	whole, took := 0, 0.0
+	seen := map[string]map[string]bool{} // agents that saw an ejection, by zone and host
+	for _, s := range steps {
+		if s.Kind != "eject" {
+			continue
+		}
+		fig["ejections"]++
+		key := e.Zone[s.Agent] + " " + s.Host
+		if seen[key] == nil {
+			seen[key] = map[string]bool{}
+		}
+		if seen[key][s.Agent] {
+			continue
+		}
+		if seen[key][s.Agent] = true; len(seen[key]) == len(e.Members[e.Zone[s.Agent]]) {
+			if began, ok := w.fell[s.Host]; ok && s.At > began {
+				whole++
+				took += (s.At - began).Seconds() * 1000
+			}
+		}
+	}
+	if whole > 0 {
+		fig["eject_ms"] = took / float64(whole)
+	}
+	bytes := int64(0)
+	for _, a := range w.agents {
+		bytes += w.mesh.Stats(a.name).Bytes
+	}
+	fig["peer_bytes_s"] = float64(bytes) / float64(len(w.agents)) / max((w.log.Now()-w.start).Seconds(), 1)
+	return nil
+}
--- /dev/null
+++ b/internal/lab/experiment/layer_test.go
@@ -0,0 +1,85 @@
+package experiment
+
+import (
+	"context"
+	"testing"
+
+	"chalkdoor.example/chalkdoor/internal/lab/report"
+)
+
+// together is three agents of one site that vote, with leases short enough for a test.
+const together = `
+name = "together"
+[fleet]
+agents = 3
+servers = 4
+zones = ["a"]
+layer = true
+[fleet.vote]
+cap = 0.5
+lease = "1s"
+longest = "2s"
+age = "2s"
+trial = "200ms"
+[load]
+use = 0.25
+for = "7s"
+warmup = "500ms"
+keys = 20
+`
+
+func file(t *testing.T, text string) *File {
+	t.Helper()
+	f, err := Parse("together.toml", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func playedTogether(t *testing.T, text string) *report.Report {
+	t.Helper()
+	r, err := Run(context.Background(), file(t, text), Options{Seed: 1, Bin: bin, Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	sound(t, r)
+	return r
+}
+
+// A server that fails all it gets is ejected by all agents of its site, by real processes that
+// talk over links; the invariants of the votes are kept.
+func TestAgentsEjectTogether(t *testing.T) {
+	r := playedTogether(t, together+`
+[[fault]]
+kind = "error-servers"
+at = "3s"
+for = "4s"
+part = 0.25
+share = 1.0
+`)
+	if got := r.Plays[0].Figures["ejections"]; got < 3 {
+		t.Errorf("%v ejections, want one at each of three agents", got)
+	}
+}
+
+// A site that is cut in three parts has no majority and ejects nothing.
+func TestASplitSiteEjectsNothing(t *testing.T) {
+	r := playedTogether(t, together+`
+[[fault]]
+kind = "split-site"
+at = "100ms"
+for = "20s"
+zone = "a"
+steps = 3
+[[fault]]
+kind = "error-servers"
+at = "3s"
+for = "4s"
+part = 0.25
+share = 1.0
+`)
+	if got := r.Plays[0].Figures["ejections"]; got != 0 {
+		t.Errorf("%v ejections without a majority", got)
+	}
+}
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -74,6 +74,7 @@
 	for _, name := range append([]string{"agents"}, f.Baselines...) {
 		of := fl
 		of.State = fl.State && name != NoState
+		of.Layer = fl.Layer && name != Alone
 		p := &play{file: f, fleet: of, cfg: cfg, plan: plan, set: set, opt: opt, name: name}
 		t, err := p.run(ctx, r)
 		if err != nil {
@@ -175,8 +176,8 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, fmt.Errorf("experiment: %w", err)
 	}
-	agents := p.name == "agents" || p.name == NoState
-	w, err := build(ctx, p.fleet, p.set, p.cfg, p.opt.Seed, p.opt.Bin, dir, agents)
+	agents := byAgents(p.name)
+	w, err := build(ctx, p.fleet, p.file.Fleet.Layer, p.set, p.cfg, p.opt.Seed, p.opt.Bin, dir, agents)
 	if err != nil {
 		return nil, err
 	}
@@ -267,7 +268,13 @@
 func (p *play) finish(w *world, t *tally, agents bool, r *report.Report) error {
 	end := w.log.Now()
 	cpu := time.Duration(0)
+	fig := map[string]float64{}
 	if agents {
+		if p.file.Fleet.Layer {
+			if err := w.scrape(fig); err != nil {
+				return err
+			}
+		}
 		w.endAgents()
 		for _, a := range w.agents {
 			cpu += a.proc.CPU()
@@ -275,7 +282,6 @@
 	}
 	events := w.log.Events()
 	t.attempts = attemptsOf(events, w)
-	fig := map[string]float64{}
 	warm := time.Duration(r.Warmup)
 	all := t.over(warm, t.cfg.For)
 	for name, f := range figures {
@@ -308,6 +314,11 @@
 		for _, v := range referee.Check(events, rules, end) {
 			r.Violations = append(r.Violations, v.String())
 		}
+		if w.mesh != nil {
+			if err := p.votes(w, r, fig); err != nil {
+				return err
+			}
+		}
 		w.mu.Lock()
 		r.Crashes = slices.Clone(w.deaths)
 		w.mu.Unlock()
--- a/internal/lab/experiment/run_test.go
+++ b/internal/lab/experiment/run_test.go
@@ -164,7 +164,7 @@
 	f := parse(t, small)
 	worlds := map[uint64]string{}
 	for _, seed := range []uint64{1, 1, 2} {
-		w, err := build(context.Background(), f.Fleet, settings(), nil, seed, bin, t.TempDir(), false)
+		w, err := build(context.Background(), f.Fleet, false, settings(), nil, seed, bin, t.TempDir(), false)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -17,6 +17,7 @@
 	"chalkdoor.example/chalkdoor/internal/lab/fleet"
 	"chalkdoor.example/chalkdoor/internal/lab/link"
 	"chalkdoor.example/chalkdoor/internal/lab/load"
+	"chalkdoor.example/chalkdoor/internal/lab/mesh"
 	"chalkdoor.example/chalkdoor/internal/lab/procs"
 	"chalkdoor.example/chalkdoor/internal/lab/referee"
 	"chalkdoor.example/chalkdoor/policy"
@@ -65,6 +66,9 @@
 func (n *network) agent(i int) net.IP { return net.IPv4(127, n.n, byte(1+i/250), byte(1+i%250)) }
 func (n *network) view(i int) net.IP  { return net.IPv4(127, n.n, byte(101+i/250), byte(1+i%250)) }
 
+// relay is the address where other agents reach it.
+func (n *network) relay(i int) net.IP { return net.IPv4(127, n.n, byte(201+i/250), byte(1+i%250)) }
+
 // server is a report server of the fleet and the links to it.
 type server struct {
 	*emu.Server
@@ -77,6 +81,7 @@
 	index   int
 	name    string
 	zone    string
+	peers   string // where others reach it
 	proc    *procs.Proc
 	view    *emu.View
 	client  *load.Client
@@ -85,18 +90,22 @@
 
 // world is a whole emulated fleet. The run's goroutine alone uses it, but for what says so.
 type world struct {
-	fleet   Fleet
-	seed    uint64
-	rng     *rand.Rand
-	dir     string
-	bin     string
-	log     *referee.Log
-	tries   *load.Tries
-	effects *emu.Effects
-	net     *network
-	group   *procs.Group
-	set     policy.Settings
-	start   time.Duration // of the load
+	fleet    Fleet
+	seed     uint64
+	rng      *rand.Rand
+	dir      string
+	bin      string
+	log      *referee.Log
+	tries    *load.Tries
+	effects  *emu.Effects
+	net      *network
+	group    *procs.Group
+	set      policy.Settings
+	mesh     *mesh.Mesh                   // between agents; nil: none
+	peerCuts []func(from, to string) bool // nil: healed
+	scraped  bool                         // the agents serve their metrics
+	fell     map[string]time.Duration     // by server: when a fault first befell it
+	start    time.Duration                // of the load
 
 	todo chan func() error // what the run's goroutine does next
 	over chan struct{}     // closed when it takes no more
@@ -112,18 +121,18 @@
 }
 
 // build makes a fleet; with agents it starts their processes and waits until they are ready.
-func build(ctx context.Context, fl Fleet, set policy.Settings, cfg *load.Config, seed uint64, bin, dir string, agents bool) (w *world, err error) {
+func build(ctx context.Context, fl Fleet, scraped bool, set policy.Settings, cfg *load.Config, seed uint64, bin, dir string, agents bool) (w *world, err error) {
 	w = &world{fleet: fl, seed: seed, rng: rand.New(rand.NewPCG(seed, 21)), dir: dir, bin: bin, log: referee.NewLog(),
-		tries: load.NewTries(), group: procs.NewGroup(), set: set, meant: map[*procs.Proc]bool{},
-		todo: make(chan func() error), over: make(chan struct{})}
+		tries: load.NewTries(), group: procs.NewGroup(), set: set, meant: map[*procs.Proc]bool{}, scraped: scraped,
+		todo: make(chan func() error), over: make(chan struct{}), fell: map[string]time.Duration{}}
 	defer func() {
 		if err != nil {
 			w.close()
 		}
 	}()
 	w.effects = emu.NewEffects(w.effectsWindow())
-	if fl.State { // of this play alone
-		old, err := filepath.Glob(filepath.Join(dir, "*.state"))
+	for _, of := range []string{"*.state", "*.trace"} { // of this play alone
+		old, err := filepath.Glob(filepath.Join(dir, of))
 		if err != nil {
 			return nil, fmt.Errorf("experiment: %w", err)
 		}
@@ -147,6 +156,11 @@
 	if !agents {
 		return w, nil
 	}
+	if fl.Layer {
+		if err := w.joinMesh(); err != nil {
+			return nil, err
+		}
+	}
 	for _, a := range w.agents {
 		ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: w.net.view(a.index)})
 		if err != nil {
@@ -200,6 +214,9 @@
 func (w *world) close() {
 	close(w.over)
 	w.group.Close()
+	if w.mesh != nil {
+		w.mesh.Close()
+	}
 	for _, a := range w.agents {
 		if a.view != nil {
 			a.view.Close()
@@ -353,14 +370,9 @@
 	if err := os.WriteFile(path, text, 0o644); err != nil {
 		return fmt.Errorf("experiment: configuration: %w", err)
 	}
-	var args []string
-	if w.fleet.State {
-		ops := filepath.Join(w.dir, a.name+".toml")
-		text := fmt.Sprintf("[state]\ndir = %q\nevery = \"500ms\"\n", filepath.Join(w.dir, a.name+".state"))
-		if err := os.WriteFile(ops, []byte(text), 0o644); err != nil {
-			return fmt.Errorf("experiment: operations file: %w", err)
-		}
-		args = []string{"agent", "--ops", ops}
+	args, err := w.operations(a)
+	if err != nil {
+		return err
 	}
 	p, err := w.group.Start(procs.Spec{Name: a.name, Path: w.bin, Args: args, Env: []string{"PROXY_CONFIG=" + path, "PROXY_NAME=" + a.name,
 		"PROXY_LISTEN=" + addr, "PROXY_DISCOVERY=" + discovery}, Log: filepath.Join(w.dir, a.name+".log")})
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -126,6 +126,9 @@
 // NewLog returns a log whose clock starts now.
 func NewLog() *Log { return &Log{start: time.Now()} }
 
+// Began is when it started, by the clock of day.
+func (l *Log) Began() time.Time { return l.start }
+
 // Now is the log's clock.
 func (l *Log) Now() time.Duration { return time.Since(l.start) }
 
