Check all orders of three voters: exhausted, with five defects found by short traces

Need: a few tasks' interleavings are to be gone through by a checker that finds seeded defects.

The ballot's own code is searched with three voters, two motions that together break the cap, letters that are lost or late, a crash without memory and a change of mind.

Found: a promise forgotten with the answer (7 steps), no quarantine (8), a lease counted from when the letter came (5), a whole cap for each voter (5), a standing without end (5). An older letter in place of a newer one is no defect here, as grants carry their end. Roll change against a motion, the decision set and the mailbox are still to do.

--- /dev/null
+++ b/internal/ballot/interleave_test.go
@@ -0,0 +1,374 @@
+package ballot
+
+import (
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"testing"
+	"time"
+
+	"chalkdoor.example/chalkdoor/internal/evidence"
+	"chalkdoor.example/chalkdoor/internal/interleave"
+)
+
+// defect is what is done wrong on purpose, to see that the checker finds it.
+type defect string
+
+const (
+	none          defect = ""
+	forgetPromise defect = "a promise is forgotten with the answer"
+	noQuarantine  defect = "a voter that starts again votes at once"
+	wrongEnd      defect = "a lease is counted from when the letter came"
+	wholeCap      defect = "each voter promises as much as the site may eject"
+	staleTable    defect = "a standing has no end"
+)
+
+// small is three voters, two of whose three hosts are bad, at every moment that matters: a
+// step is a voter's tick, a letter that comes, time that passes, or a crash. Letters wait one
+// for each way, the newest; one that is never taken is lost, and a voter that is not let tick
+// is paused.
+type small struct {
+	bad      defect
+	now      time.Duration
+	voters   [3]*voter3
+	mail     [3][3]*Letter
+	says     [3][3]string // the last sent on each way
+	promised map[string]time.Duration
+	passed   int
+	crashes  int
+	seconds  int  // that may pass, and
+	mayCrash int  // crashes of the first voter
+	mayHeal  bool // the first host gets well in the eyes of the first voter
+}
+
+type voter3 struct {
+	core  *Core
+	log   *evidence.Log
+	due   bool // something came, or time passed, since its tick
+	table []Standing
+	seen  []time.Duration // when it met the bad hosts
+	well  time.Duration   // from when on the first of them is well to it; 0: never
+}
+
+var three = []evidence.Listed{{Host: evidence.Host{ID: "x"}, Zone: "z", Weight: 1}, {Host: evidence.Host{ID: "y"}, Zone: "z", Weight: 1}, {Host: evidence.Host{ID: "w"}, Zone: "z", Weight: 1}}
+
+func (s *small) config(i int, boot uint64) Config {
+	c := Config{Self: fmt.Sprint("v", i), Boot: boot, Roll: Roll{Number: 1, Members: []string{"v0", "v1", "v2"}}, Cap: 0.5, Lease: 2 * time.Second,
+		Longest: 2 * time.Second, Age: 2 * time.Second, Remember: 0, Step: time.Second, Trial: time.Second}
+	if s.bad == wholeCap {
+		c.Cap = 0.5 * 3 / 2 * 2
+	}
+	return c
+}
+
+func newSmall(bad defect) *small {
+	s := &small{bad: bad, promised: map[string]time.Duration{}, now: 10 * time.Second}
+	for i := range s.voters {
+		s.start(i, uint64(1+i))
+		s.voters[i].core.started, s.voters[i].core.born = true, 0 // long out of quarantine
+		s.see(i)
+	}
+	return s
+}
+
+// start is a new life that knows nothing.
+func (s *small) start(i int, boot uint64) {
+	cfg := s.config(i, boot)
+	log := evidence.New(cfg.Age)
+	log.Listed(three)
+	core := &Core{cfg: cfg, log: log, voter: true, peers: map[string]*peer{}, mine: map[evidence.Host]*own{}, standing: map[evidence.Host]*standing{}}
+	for _, m := range cfg.Roll.Members {
+		if m != cfg.Self {
+			core.peers[m] = &peer{votes: map[evidence.Host]vote{}}
+		}
+	}
+	if s.bad == noQuarantine {
+		core.started, core.born = true, s.now-time.Hour
+	}
+	s.voters[i] = &voter3{core: core, log: log, due: true}
+}
+
+// fails is who fails on which: the first voter on both bad hosts, so that with either of the
+// others it is a majority against one of them.
+var fails = [3][]int{{0, 1}, {0}, {1}}
+
+// see lets a voter meet the bad hosts now.
+func (s *small) see(i int) { s.seeAt(i, s.now) }
+
+func (s *small) seeAt(i int, at time.Duration) {
+	v := s.voters[i]
+	v.seen = append(v.seen, at)
+	for _, h := range fails[i] {
+		kind := evidence.Failed
+		if v.well > 0 && at >= v.well && h == 0 {
+			kind = evidence.Good
+		}
+		v.log.Saw(evidence.Sight{Host: three[h].Host, Kind: kind, OfAim: 0.1, Sent: at, At: at})
+	}
+}
+
+func (s *small) tick(i int) {
+	v := s.voters[i]
+	v.due = false
+	if s.bad == forgetPromise {
+		for _, m := range v.core.mine {
+			if m.answer != Grant || m.until <= s.now {
+				m.promised = 0
+			}
+		}
+	}
+	out := v.core.Tick(s.now)
+	for to, l := range out.Letters {
+		j := int(to[1] - '0')
+		if says := said3(l); s.says[i][j] != says { // what only says the same again may as well be lost
+			s.says[i][j] = says
+			s.mail[i][j] = l
+		}
+	}
+	if out.Changed {
+		v.table = out.Table
+	}
+	for _, n := range out.Notes {
+		if n.Kind == "grant" {
+			key := v.core.cfg.Self + n.Host.ID
+			s.promised[key] = max(s.promised[key], n.Until)
+		}
+	}
+}
+
+func (s *small) deliver(i, j int, l *Letter) {
+	c := *l
+	if s.bad == wrongEnd && c.EchoBoot != 0 {
+		c.Echo, c.Kept = s.now, 0
+	}
+	v := s.voters[j]
+	_ = v.core.Receive(s.now, &c) // what is stale is dropped
+	v.due = true
+}
+
+// check is the invariant: over the views of all, paused or not, no more than the cap is
+// ejected, and what a view holds ejected a majority has promised still.
+func (s *small) check() error {
+	out := map[string]bool{}
+	for _, v := range s.voters {
+		for _, st := range v.table {
+			if st.Part > 0 || st.Until <= s.now && s.bad != staleTable {
+				continue
+			}
+			out[st.Host.ID] = true
+			n := 0
+			for k := range 3 {
+				if s.promised[fmt.Sprint("v", k)+st.Host.ID] > s.now {
+					n++
+				}
+			}
+			if n < 2 {
+				return fmt.Errorf("%s holds %s ejected on the promises of %d of 3", v.core.cfg.Self, st.Host.ID, n)
+			}
+		}
+	}
+	if float64(len(out))/3 > 0.5 {
+		return fmt.Errorf("%d of 3 are ejected, the cap is 0.5", len(out))
+	}
+	return nil
+}
+
+// said3 is what a letter says, without its times.
+func said3(l *Letter) string {
+	text := fmt.Sprint(l.Boot)
+	for _, e := range l.Entries {
+		text += fmt.Sprint(" ", e.Host.ID, e.Answer)
+		if e.Answer == Grant {
+			text += fmt.Sprint(l.Sent + e.Left)
+		}
+	}
+	return text
+}
+
+// state is a hash of all that matters to what follows.
+func (s *small) state() uint64 {
+	f := fnv.New64a()
+	fmt.Fprint(f, s.now, s.passed, s.crashes, s.promised)
+	for i, v := range s.voters {
+		c := v.core
+		fmt.Fprint(f, v.due, v.table, v.well, c.born, c.cfg.Boot, s.says[i])
+		for _, h := range three {
+			if m := c.mine[h.Host]; m != nil {
+				fmt.Fprint(f, *m)
+			}
+			if t := c.standing[h.Host]; t != nil {
+				fmt.Fprint(f, *t)
+			}
+			r, _ := v.log.Of(h.Host, s.now)
+			fmt.Fprint(f, r)
+		}
+		for _, name := range []string{"v0", "v1", "v2"} {
+			if p := c.peers[name]; p != nil {
+				fmt.Fprint(f, p.boot, p.stamp)
+				for _, h := range three {
+					fmt.Fprint(f, p.votes[h.Host])
+				}
+			}
+		}
+		for j := range s.mail[i] {
+			if l := s.mail[i][j]; l != nil {
+				fmt.Fprint(f, i, j, *l)
+			}
+		}
+	}
+	return f.Sum64()
+}
+
+// Steps, Do, Clone and Hash make it a state to search.
+
+func (s *small) Steps() int { return len(s.steps()) }
+
+func (s *small) Do(i int) error {
+	s.steps()[i]()
+	return s.check()
+}
+
+func (s *small) Hash() uint64 { return s.state() }
+
+func (s *small) steps() (steps []func()) {
+	for i, v := range s.voters {
+		if v.due {
+			steps = append(steps, func() { s.tick(i) })
+		}
+		for j := range s.mail[i] {
+			if l := s.mail[i][j]; l != nil {
+				steps = append(steps, func() {
+					s.mail[i][j] = nil
+					s.deliver(i, j, l)
+					s.tick(j)
+				})
+			}
+		}
+	}
+	if s.crashes < s.mayCrash {
+		steps = append(steps, func() {
+			s.crashes++
+			s.start(0, uint64(10+s.crashes))
+			s.see(0)
+		})
+	}
+	if s.mayHeal && s.voters[0].well == 0 {
+		steps = append(steps, func() {
+			s.voters[0].well = s.now + 1 // after its last failure
+			s.seeAt(0, s.now+1)
+			s.voters[0].due = true
+		})
+	}
+	if s.passed < s.seconds {
+		steps = append(steps, func() {
+			s.passed++
+			s.now += time.Second
+			for i := range s.voters {
+				s.voters[i].due = true
+				s.see(i)
+			}
+		})
+	}
+	return steps
+}
+
+func (s *small) Clone() *small {
+	n := *s
+	n.promised = maps.Clone(s.promised)
+	for i, v := range s.voters {
+		w := *v
+		w.log = evidence.New(v.core.cfg.Age)
+		w.log.Listed(three)
+		w.seen = nil
+		core := *v.core
+		core.log, core.out = w.log, nil
+		core.peers, core.mine, core.standing = map[string]*peer{}, map[evidence.Host]*own{}, map[evidence.Host]*standing{}
+		for k, p := range v.core.peers {
+			q := *p
+			q.votes = maps.Clone(p.votes)
+			core.peers[k] = &q
+		}
+		for k, m := range v.core.mine {
+			o := *m
+			core.mine[k] = &o
+		}
+		for k, t := range v.core.standing {
+			o := *t
+			core.standing[k] = &o
+		}
+		w.core = &core
+		n.voters[i] = &w
+		for _, at := range v.seen {
+			n.seeAt(i, at)
+		}
+	}
+	return &n
+}
+
+// begun is the voters as they have heard of each other: who has no echo yet counts nothing.
+func begun(bad defect, seconds, crashes int, heal bool) *small {
+	s := newSmall(bad)
+	s.seconds, s.mayCrash, s.mayHeal = seconds, crashes, heal
+	for range 2 {
+		for i := range 3 {
+			c := s.voters[i].core
+			c.out = &Out{Letters: map[string]*Letter{}}
+			c.begin(s.now)
+			c.letters([]string{"v0", "v1", "v2"})
+			for to, l := range c.out.Letters {
+				s.deliver(i, int(to[1]-'0'), l)
+			}
+		}
+	}
+	return s
+}
+
+// Three voters, two motions that together break the cap, with a crash or a change of mind: all
+// orders of ticks and letters, lost and late ones too, keep the cap and the majority.
+func TestAllOrdersKeepTheCap(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		seconds    int
+		crashes    int
+		heal       bool
+		mostStates int
+		exhausted  bool
+	}{
+		{"two motions", 0, 0, false, 1e6, true},
+		{"and a voter that starts again without memory", 0, 1, false, 1e6, true},
+		{"and a voter that changes its mind", 0, 0, true, 1e6, true},
+		{"and leases that lapse, as far as it goes", 3, 0, false, 5000, false},
+	} {
+		res := interleave.Search(begun(none, c.seconds, c.crashes, c.heal), c.mostStates)
+		if res.Err != nil || res.Exhausted != c.exhausted {
+			t.Errorf("%s: %s", c.name, res)
+		}
+		t.Logf("%s: %s", c.name, res)
+	}
+}
+
+// Each defect is found, or the checker is not believed; the trace leads to it again.
+func TestDefectsAreFound(t *testing.T) {
+	for _, c := range []struct {
+		bad              defect
+		seconds, crashes int
+		heal             bool
+		trace            string
+	}{
+		{wholeCap, 0, 0, false, "0 0 0 0 3"},
+		{noQuarantine, 0, 1, false, "1 1 0 2 4 3 1 2"},
+		{forgetPromise, 0, 0, true, "1 1 0 0 4 0 4"},
+		{staleTable, 2, 0, false, "0 0 1 4 6"},
+		{wrongEnd, 2, 0, false, "0 0 4 3 5"},
+	} {
+		start := func(bad defect) *small { return begun(bad, c.seconds, c.crashes, c.heal) }
+		res := interleave.Search(start(c.bad), 10000)
+		if res.Err == nil || res.Trace != c.trace {
+			t.Errorf("%s: %s, want it found by %s", c.bad, res, c.trace)
+			continue
+		}
+		if err := interleave.Walk(start(c.bad), res.Trace); err == nil || err.Error() != res.Err.Error() {
+			t.Errorf("%s: its trace leads to %v, want %v", c.bad, err, res.Err)
+		}
+	}
+}
