Count what is left of a standing when the loop takes it, not when it was handed over

Cause: the vote's task computed what was left when it handed a table over; a process paused between that and the loop's taking it would have acted on an ejection for the length of the pause more, until the next tick. At fault: hand and Standings in internal/layer/layer.go.

Change: the table keeps the time at which each ends, on the layer's clock. Tests of the hand-over, which none covered: no attempt asked for is lost or doubled, merging of letters and lists, what says nothing, an end in order with an address that can't be bound. -race -count=5 passes.

--- a/internal/layer/layer.go
+++ b/internal/layer/layer.go
@@ -52,7 +52,7 @@
 
 	ready chan struct{}
 	mu    sync.Mutex
-	table []agent.Standing
+	table []agent.Standing       // Left is the layer's time at which it ends
 	tries map[evidence.Host]bool // asked for and not yet handed over: whether by a probe
 }
 
@@ -248,7 +248,6 @@
 // hand makes a table the one that the loop takes next. One that it has not taken yet is
 // replaced, but for the attempts that it asked for.
 func (l *Layer) hand(table []ballot.Standing) {
-	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.table = l.table[:0:0]
@@ -260,7 +259,7 @@
 		}
 		probe, asked := l.tries[s.Host]
 		l.table = append(l.table, agent.Standing{ID: s.Host.ID, StartedMs: float64(s.Host.Incarnation), Part: s.Part,
-			Left: max(s.Until-now, 0), Try: asked && !probe, Probe: asked && probe})
+			Left: s.Until, Try: asked && !probe, Probe: asked && probe})
 	}
 	for h, probe := range l.tries {
 		if !named[h] {
@@ -276,12 +275,17 @@
 // Ready receives when there are new standings.
 func (l *Layer) Ready() <-chan struct{} { return l.ready }
 
-// Standings are the newest, whole; those asked for a try are so once.
+// Standings are the newest, whole; those asked for a try are so once. What is left of each is
+// counted as of now: the process may have been paused since they were handed over.
 func (l *Layer) Standings() []agent.Standing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.tries)
-	return slices.Clone(l.table)
+	out, now := slices.Clone(l.table), l.now()
+	for i := range out {
+		out[i].Left = max(out[i].Left-now, 0)
+	}
+	return out
 }
 
 // ---- the trace ----
--- /dev/null
+++ b/internal/layer/layer_test.go
@@ -0,0 +1,110 @@
+package layer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"chalkdoor.example/chalkdoor/internal/agent"
+	"chalkdoor.example/chalkdoor/internal/ballot"
+	"chalkdoor.example/chalkdoor/internal/evidence"
+	"chalkdoor.example/chalkdoor/internal/peers"
+	"chalkdoor.example/chalkdoor/internal/task"
+	"chalkdoor.example/chalkdoor/policy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func bare() *Layer {
+	return &Layer{start: time.Now(), box: task.NewMailbox(8), ready: make(chan struct{}, 1), tries: map[evidence.Host]bool{}, cfg: Config{Aims: []time.Duration{time.Second}}}
+}
+
+// A table that the loop has not taken is replaced by a newer one, but no attempt that was
+// asked for is lost, and each is handed over once.
+func TestHandOver(t *testing.T) {
+	l := bare()
+	a, b := evidence.Host{ID: "a"}, evidence.Host{ID: "b", Incarnation: 3}
+	l.hand([]ballot.Standing{{Host: a, Until: time.Hour, Try: true}, {Host: b, Part: 1, Probe: true}})
+	l.hand([]ballot.Standing{{Host: a, Until: time.Hour}})
+	<-l.Ready()
+	got := map[string]agent.Standing{}
+	for _, s := range l.Standings() {
+		got[s.ID] = s
+	}
+	if x := got["a"]; !x.Try || x.Probe || x.Part != 0 || x.Left <= 0 || x.Left > time.Hour {
+		t.Errorf("a: %+v", x)
+	}
+	if x := got["b"]; !x.Probe || x.Try || x.Part != 1 || x.StartedMs != 3 {
+		t.Errorf("b: %+v", x)
+	}
+	l.hand([]ballot.Standing{{Host: a, Until: time.Hour}})
+	if s := l.Standings(); len(s) != 1 || s[0].Try {
+		t.Errorf("handed over again: %+v", s)
+	}
+}
+
+// A table that was handed over before the process was paused holds no longer for that.
+func TestWhatIsLeftIsCountedWhenItIsTaken(t *testing.T) {
+	l := bare()
+	l.hand([]ballot.Standing{{Host: evidence.Host{ID: "a"}, Until: 5 * time.Second}})
+	l.start = l.start.Add(-10 * time.Second) // as long as the pause was
+	if s := l.Standings(); s[0].Left != 0 {
+		t.Errorf("%v is left of what ended in the pause", s[0].Left)
+	}
+}
+
+// What says nothing of a server is not told to the vote; a probe that gets no connection is
+// silence, not a failure.
+func TestSights(t *testing.T) {
+	l := bare()
+	for _, s := range []agent.Sight{{Status: policy.Cancelled}, {Status: policy.Moot}, {Status: policy.OK, Class: 7}} {
+		l.Attempted(s)
+	}
+	if m, ok := l.box.Poll(); ok {
+		t.Errorf("told of %+v", m)
+	}
+	l.Attempted(agent.Sight{ID: "a", Status: policy.ConnectFailed, Probe: true, Took: time.Second / 2})
+	m, _ := l.box.Poll()
+	if s, ok := m.(sight); !ok || s.Kind != evidence.Silent || !s.Probe || s.OfAim != 0.5 || s.At-s.Sent != time.Second/2 {
+		t.Errorf("told of %+v", m)
+	}
+}
+
+// Letters of one peer merge, the newer staying whichever came last; the list replaces itself.
+func TestMessagesMerge(t *testing.T) {
+	l := bare()
+	newer, older := &ballot.Letter{From: "a", Boot: 1, Sent: 2}, &ballot.Letter{From: "a", Boot: 1, Sent: 1}
+	l.box.Put(letter{newer})
+	l.box.Put(letter{older})
+	l.box.Put(letter{&ballot.Letter{From: "b"}})
+	l.Listed([]agent.Target{{ID: "x", State: "up"}})
+	l.Listed([]agent.Target{{ID: "y", State: "up"}, {ID: "z", State: "draining"}})
+	var got []task.Message
+	for m, ok := l.box.Poll(); ok; m, ok = l.box.Poll() {
+		got = append(got, m)
+	}
+	if len(got) != 3 || got[0].(letter).Letter != newer {
+		t.Fatalf("%d messages: %+v", len(got), got)
+	}
+	if hosts := got[2].(listed).hosts; len(hosts) != 1 || hosts[0].ID != "y" {
+		t.Errorf("listed %+v", hosts)
+	}
+}
+
+// The tasks start and end with the layer, whatever their sockets do: here the address is no
+// one's, so that peers dies and is started again while the vote goes on alone.
+func TestItEndsInOrder(t *testing.T) {
+	cfg := Config{Vote: ballot.Defaults(), Peers: peers.Config{Fleet: "k", Name: "a", Bind: "192.0.2.1:7946", Seeds: []string{"192.0.2.1:7946"}}, Aims: []time.Duration{time.Second}}
+	if _, err := Start(t.Context(), cfg); err == nil {
+		t.Error("started without an electorate")
+	}
+	cfg.Vote.Roll.Members = []string{"a"}
+	l, err := Start(context.Background(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Listed([]agent.Target{{ID: "x", State: "up", Weight: 1}})
+	l.Close()
+}
