Take slowness for evidence only once it lasted: a host that stands still is slow to many

At fault: Record.Against (evidence.go), for which the last attempt was enough whatever it was; of voters at one moment such evidence is one event.

Change: slowness counts when all answers were slow for a second, longer than hosts stand still; it costs no request to wait for. Failures and silence count as before, silence lasting an aim anyway.

--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -48,6 +48,8 @@
 	// silentTimes is how many times the usual, or a whole aim, an attempt must have waited to
 	// tell of silence: clients that come near their end leave less.
 	silentTimes = 4.0
+	// slowFor is how long all answers must have been slow: longer than hosts stand still.
+	slowFor = time.Second
 	// usualWeight is the weight of one answer in what is usual.
 	usualWeight = 0.02
 )
@@ -59,6 +61,7 @@
 	Kind     Kind          // of the last bad one
 	LastBad  time.Duration // when the last bad one ended, and
 	BadSent  time.Duration // when it had been sent
+	BadFrom  time.Duration // when the first bad one since the last good one was sent
 	Probed   time.Duration // when the last probe that was answered was sent
 	LastGood time.Duration // when the last good one was sent; before all others: never
 }
@@ -80,6 +83,7 @@
 	last     Kind
 	lastBad  time.Duration
 	badSent  time.Duration
+	badFrom  time.Duration
 	probed   time.Duration
 	lastGood time.Duration
 }
@@ -167,6 +171,9 @@
 	t.attempts[i]++
 	if s.Kind.bad() {
 		t.bad[i]++
+		if t.lastBad <= t.lastGood {
+			t.badFrom = s.Sent
+		}
 		t.last, t.lastBad, t.badSent = s.Kind, max(t.lastBad, s.At), max(t.badSent, s.Sent)
 	} else {
 		// A good answer tells of the time it was sent at: what was sent before a failure says
@@ -186,7 +193,7 @@
 }
 
 func (t *trail) record(now, window time.Duration) Record {
-	r := Record{Kind: t.last, LastBad: t.lastBad, BadSent: t.badSent, Probed: t.probed, LastGood: t.lastGood}
+	r := Record{Kind: t.last, LastBad: t.lastBad, BadSent: t.badSent, BadFrom: t.badFrom, Probed: t.probed, LastGood: t.lastGood}
 	for i := range buckets {
 		if t.from[i]+window/buckets > now-window {
 			r.Attempts += t.attempts[i]
@@ -247,9 +254,11 @@
 // Against tells whether a record speaks against its host: the last that was seen of it, no
 // longer ago than age, was bad. For one agent that is little, as connections break on any host;
 // that a majority has it so at a time is not chance, and waiting for a second failure of each
-// would cost as many requests again.
+// would cost as many requests again. A host that stands still for a moment is slow to many at
+// once, though: slowness counts once it lasted, and costs no request to wait for.
 func (r Record) Against(now, age time.Duration) bool {
-	return r.Bad > 0 && r.LastBad > r.LastGood && now-r.LastBad <= age
+	lasted := r.Kind != Slow || r.LastBad-r.BadFrom >= slowFor
+	return r.Bad > 0 && lasted && r.LastBad > r.LastGood && now-r.LastBad <= age
 }
 
 // For tells whether it speaks for its host: the last that was seen, no longer ago than age,
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -53,6 +53,30 @@
 	}
 }
 
+// A host that stands still for a moment is slow to all who ask it then; one that stays slow
+// for longer is slow.
+func TestAMomentOfSlownessIsNone(t *testing.T) {
+	l := newLog()
+	at := func(ms int, ofAim float64) {
+		end := time.Duration(ms) * time.Millisecond
+		l.Saw(Sight{Host: one, Kind: Good, OfAim: ofAim, Sent: end - 10*time.Millisecond, At: end})
+	}
+	for i := range 20 {
+		at(i, 0.1)
+	}
+	for _, c := range []struct {
+		ms      int
+		ofAim   float64
+		against bool
+	}{{1000, 0.8, false}, {1100, 0.9, false}, {1900, 0.8, false}, {2100, 0.8, true}, {2200, 0.1, false}, {2300, 0.8, false}} {
+		at(c.ms, c.ofAim)
+		now := time.Duration(c.ms) * time.Millisecond
+		if r, _ := l.Of(one, now); r.Against(now, window) != c.against {
+			t.Errorf("at %d ms: against %v: %+v", c.ms, !c.against, r)
+		}
+	}
+}
+
 // An answer to what was sent before a failure says nothing of what came after.
 func TestALateAnswerDoesNotSpeakForAHost(t *testing.T) {
 	l := newLog()
