Play liars, splits, pauses and storms, and renew an ejection on older evidence of its own

Change: internal/lab/liar, stand-ins in the electorate that speak through the same library; experiments vote-liars, vote-split, vote-pause and vote-storm. A voter renews while the last that it saw was bad, no longer ago than four times the longest lease, and anybody has newer evidence; traces call it renew. BenchmarkSite tells how letters and time grow.

--- /dev/null
+++ b/internal/ballot/bench_test.go
@@ -0,0 +1,39 @@
+package ballot
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chalkdoor.example/chalkdoor/internal/evidence"
+)
+
+// A site of so many members, one of 48 hosts bad, 20 attempts a second each: letters a second
+// of a member in calm, the most in a second while it is voted out, the simulated time until all
+// hold it ejected, and how many of its requests failed by then.
+func BenchmarkSite(b *testing.B) {
+	for _, n := range []int{3, 13, 100, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				s := settled(b, 1, n, 48)
+				before := s.sent
+				s.run(2 * time.Second)
+				calm := float64(s.sent-before) / 2 / float64(n)
+				h := s.hosts[0].Host
+				s.bad[h] = evidence.Failed
+				from, worst := s.now, 0.0
+				for s.holding(h) < n && s.now-from < time.Minute {
+					before = s.sent
+					for second := s.now + time.Second; s.now < second && s.holding(h) < n; {
+						s.run(tick)
+					}
+					worst = max(worst, float64(s.sent-before)/float64(n))
+				}
+				b.ReportMetric(calm, "calm-letters/s")
+				b.ReportMetric(worst, "most-letters/s")
+				b.ReportMetric(float64((s.now - from).Milliseconds()), "sim-ms-to-eject")
+				b.ReportMetric(float64(s.failed)/float64(n), "failed/member")
+			}
+		})
+	}
+}
--- a/internal/ballot/core.go
+++ b/internal/ballot/core.go
@@ -6,8 +6,10 @@
 // # What is guaranteed
 //
 // A host is ejected at a member only while that member holds live grants for the host's
-// incarnation from a strict majority of one roll. A voter grants only on recent evidence of
-// its own, newer than its last grant for the host.
+// incarnation from a strict majority of one roll. A voter grants only on evidence of its own,
+// no older than Age and newer than its last grant for the host. It renews a grant while the last
+// that it saw was bad, no longer ago than four times Longest, and anybody has newer evidence:
+// without that a host that stays bad would cost each voter a request for each lease.
 //
 // The weight that a site has ejected of a zone's servers never passes Cap, whatever is lost,
 // delayed, repeated, paused or restarted. Of n voters each keeps the weight that it has
@@ -62,6 +64,9 @@
 	beats = 10
 	// owedAfter is how long a motion waits for the members' own evidence before the first of
 	// them owes it an attempt, owedEach how much later the next does.
+	// renewTimes is how many times the longest lease a voter's own evidence is good for
+	// renewals, as long as anybody's newer one bears it out.
+	renewTimes = 4
 	// trialRounds is how many rounds of trials there are in a lease.
 	trialRounds         = 2
 	owedAfter, owedEach = 100 * time.Millisecond, 40 * time.Millisecond
@@ -143,7 +148,7 @@
 // Note is a step of the vote, for traces and logs.
 type Note struct {
 	At       time.Duration
-	Kind     string // "grant", "over_cap", "deny", "suspect", "eject", "hold", "return"
+	Kind     string // "grant", "renew", "over_cap", "deny", "suspect", "eject", "hold", "return"
 	Host     evidence.Host
 	Why      Why
 	Roll     uint64
@@ -455,7 +460,9 @@
 		// A renewal needs evidence of its own that is not too old, and of anyone that is newer
 		// than the grant: one trial that fails keeps a host out, where each member would have
 		// to try it otherwise.
-		renew := m.answer == Grant && m.until-c.now < (m.until-m.granted)/2 && m.record.Against(c.now, c.cfg.Age) && c.newest(h) > m.granted
+		r := m.record
+		sick := r.LastBad > r.LastGood && c.now-r.LastBad <= renewTimes*c.cfg.Longest
+		renew := m.answer == Grant && m.until > c.now && m.until-c.now < (m.until-m.granted)/2 && sick && c.newest(h) > m.granted
 		if m.answer != Suspect && !renew {
 			continue
 		}
@@ -507,7 +514,10 @@
 		}
 		return
 	}
-	lease := c.lease(m)
+	lease, kind := c.lease(m), "grant"
+	if m.answer == Grant {
+		kind = "renew"
+	}
 	m.grants++
 	m.answer, m.why = Grant, whyOf(m.record.Kind)
 	m.granted, m.until = c.now, c.now+lease
@@ -517,7 +527,7 @@
 	}
 	m.weight, m.zone = max(m.weight, weight), zone
 	m.promised = c.now + time.Duration(float64(lease)*(1+2*drift))
-	c.note("grant", h, m)
+	c.note(kind, h, m)
 }
 
 // count sets a host's standing by the live grants.
--- a/internal/lab/experiment/figures.go
+++ b/internal/lab/experiment/figures.go
@@ -39,11 +39,12 @@
 }
 
 // whole are figures of a whole play only, which are counted elsewhere: failed_attempts is the
-// attempts that failed, ejections those that any agent saw, eject_ms the mean time from a fault
+// attempts that failed, ejections those that any agent saw,
+// wrong_ejections those of them that befell servers which liars want out and no fault befalls, eject_ms the mean time from a fault
 // of servers to their ejection by all agents of a zone, peer_bytes_s what an agent was sent by
 // others.
 var whole = []string{"connections", "probes", "list_calls", "warm_keys", "pressed", "agent_cpu_ms",
-	"failed_attempts", "ejections", "eject_ms", "peer_bytes_s"}
+	"failed_attempts", "ejections", "wrong_ejections", "eject_ms", "peer_bytes_s"}
 
 // FigureNames are the figures that claims may be made of.
 func FigureNames() (names []string) {
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -54,6 +54,9 @@
 	// Layer lets the agents of each zone eject servers by vote, with messages between them over
 	// links of the laboratory, and lets each write a trace of its votes.
 	Layer bool `toml:"layer"`
+	// Liars are stand-ins in the electorate of the first zone, beside the agents, that vote
+	// falsely.
+	Liars int `toml:"liars"`
 	// Vote is what differs from the votes' defaults.
 	Vote Vote `toml:"vote"`
 	// Near and Far are how long a message takes within a zone and between zones.
@@ -262,6 +265,7 @@
 	q := &f.Quick
 	or(&fleet.Agents, q.Fleet.Agents)
 	or(&fleet.Servers, q.Fleet.Servers)
+	or(&fleet.Liars, q.Fleet.Liars)
 	or(&fleet.Near, q.Fleet.Near)
 	or(&fleet.Far, q.Fleet.Far)
 	or(&load.Use, q.Load.Use)
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -15,6 +15,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/lab/emu"
 	"chalkdoor.example/chalkdoor/internal/lab/fleet"
+	"chalkdoor.example/chalkdoor/internal/lab/liar"
 	"chalkdoor.example/chalkdoor/internal/lab/link"
 	"chalkdoor.example/chalkdoor/internal/lab/load"
 	"chalkdoor.example/chalkdoor/internal/lab/mesh"
@@ -103,9 +104,11 @@
 	set      policy.Settings
 	mesh     *mesh.Mesh                   // between agents; nil: none
 	peerCuts []func(from, to string) bool // nil: healed
-	scraped  bool                         // the agents serve their metrics
-	fell     map[string]time.Duration     // by server: when a fault first befell it
-	start    time.Duration                // of the load
+	liars    []*liar.Liar
+	spared   []string                 // servers that liars want out, and no fault befalls
+	scraped  bool                     // the agents serve their metrics
+	fell     map[string]time.Duration // by server: when a fault first befell it
+	start    time.Duration            // of the load
 
 	todo chan func() error // what the run's goroutine does next
 	over chan struct{}     // closed when it takes no more
@@ -153,6 +156,12 @@
 			return nil, err
 		}
 	}
+	// Liars want a third of the servers out, and no fault befalls those, in any play.
+	for i, s := range w.servers {
+		if fl.Liars > 0 && i%3 == 0 {
+			w.spared = append(w.spared, s.ID())
+		}
+	}
 	if !agents {
 		return w, nil
 	}
@@ -176,6 +185,11 @@
 			return nil, err
 		}
 	}
+	if w.mesh != nil {
+		if err := w.lie(); err != nil {
+			return nil, err
+		}
+	}
 	return w, nil
 }
 
@@ -214,6 +228,9 @@
 func (w *world) close() {
 	close(w.over)
 	w.group.Close()
+	for _, l := range w.liars {
+		l.Close()
+	}
 	if w.mesh != nil {
 		w.mesh.Close()
 	}
