Note a bound that is reached once, not at each tick, and hash trials by the library

At fault: answer and grant (core.go) took turns in setting the reason of a suspicion back and forth, once each tick.

Change: the reason stays until the answer changes; the kind of evidence, not that reason, says whether a host is asked by a probe. The draw of who tries is xxhash's in place of FNV with a finalizer by hand. Comments: the order of constants, what repeat does, and two limits of the guarantee that were not said: weights are those at the grant, and a suspended machine's clock stands still.

--- a/internal/ballot/core.go
+++ b/internal/ballot/core.go
@@ -36,6 +36,10 @@
 //
 // # What is not guaranteed
 //
+// The cap is one of weights as they were listed when they were granted: what leaves the list
+// makes the rest of a zone smaller. The monotonic clock stands still while a whole machine is
+// suspended, unlike a process: a reader that was counts a grant for so much longer.
+//
 // That a bad host is ejected: a part of a site without a majority ejects nothing, and one
 // whose voters have promised all they may waits. An agent's own demotion of a server does not
 // depend on any of this.
@@ -44,10 +48,11 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chalkdoor.example/chalkdoor/internal/evidence"
 )
 
@@ -62,13 +67,13 @@
 	// beats is how many members get the state each second without a change, each of them once
 	// at the most.
 	beats = 10
-	// owedAfter is how long a motion waits for the members' own evidence before the first of
-	// them owes it an attempt, owedEach how much later the next does.
 	// renewTimes is how many times the longest lease a voter's own evidence is good for
 	// renewals, as long as anybody's newer one bears it out.
 	renewTimes = 4
 	// trialRounds is how many rounds of trials there are in a lease.
-	trialRounds         = 2
+	trialRounds = 2
+	// owedAfter is how long a motion waits for the members' own evidence before the first of
+	// them owes it an attempt, owedEach how much later the next does.
 	owedAfter, owedEach = 100 * time.Millisecond, 40 * time.Millisecond
 )
 
@@ -423,7 +428,7 @@
 		m.answer, m.why = Deny, BySuccess
 	case live: // as promised; a renewal is grant's
 	case r.Against(c.now, c.cfg.Age) && (m.granted < 0 || r.BadSent > m.granted):
-		if m.answer != Suspect || m.why == OverCap {
+		if m.answer != Suspect { // or it says OverCap, for which nothing has changed
 			m.why = whyOf(r.Kind)
 		}
 		m.answer = Suspect
@@ -623,7 +628,7 @@
 	}
 	m := c.mine[s.Host]
 	if m != nil && m.answer >= Suspect {
-		silent = m.why == BySilence
+		silent = m.record.Kind == evidence.Silent
 	}
 	s.Probe = silent && (m == nil || m.record.Probed <= m.record.LastBad || c.now-m.record.Probed > c.cfg.Age)
 	s.Try = !s.Probe
@@ -679,13 +684,7 @@
 }
 
 func hash(h evidence.Host, round int64, name string) uint64 {
-	f := fnv.New64a()
-	fmt.Fprintf(f, "%s\x00%d\x00%d\x00%s", h.ID, h.Incarnation, round, name)
-	// FNV's high bits hardly depend on the last bytes.
-	x := f.Sum64()
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return xxhash.Sum64String(fmt.Sprintf("%s\x00%d\x00%d\x00%s", h.ID, h.Incarnation, round, name))
 }
 
 // said is an answer as others are told it, without what changes with the clock.
@@ -745,8 +744,7 @@
 	}
 }
 
-// repeat sends the state once more: some time after a change to all, to those whose letters
-// could not be dated yet, and in turn to a few.
+// repeat sends the state once more: some times after a change to all, and in turn to one.
 func (c *Core) repeat() {
 	if c.sentAgain < len(again) && c.now-c.changedAt >= again[c.sentAgain] {
 		c.sentAgain++
--- a/internal/ballot/core_test.go
+++ b/internal/ballot/core_test.go
@@ -174,6 +174,10 @@
 			out++
 		}
 	}
+	// Who may promise no more says so once of each host, not at each tick.
+	if got := s.count("over_cap", nil); got == 0 || got > 7*5*2 {
+		t.Errorf("%d notes of the bound by seven voters on five hosts", got)
+	}
 	// Seven voters may promise 0.5*4/7 of 12 each: three hosts, which need not be the same.
 	if out < 3 || out > 6 {
 		t.Errorf("%d hosts are ejected by all, want 3 to 6", out)
