Let a test of the emulated server wait for what it counts

Seen: TestTurnsAwayWhatItHasNoRoomFor failed once beside other tests (1 ran, 2 wanted). Checked: a server counts a job as in flight before it notes that it ran (Server.work, note after the lock is given up), and the test waited for the first and counted the second. Ruled out: a job that was turned away, as two were in flight. At fault: the test's loop.

Result: go test -race -count=30 passes.

--- a/internal/lab/emu/emu_test.go
+++ b/internal/lab/emu/emu_test.go
@@ -112,7 +112,7 @@
 	for i := range 2 {
 		go func() { _, _, _ = r.ask(fmt.Sprint(i), "") }() // ended by the server's end
 	}
-	for end := time.Now().Add(patience); r.s.Truth().Inflight < 2; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(patience); r.s.Truth().Inflight < 2 || r.count(referee.Ran) < 2; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("never full")
 		}
