Let a connection without handshake work take no place in a server's queue

Seen: TestTurnsAwayWhatItHasNoRoomFor failed beside other tests: with the test that waits for two in flight, 5 of 6 runs of 60 in parallel, one of its two first requests answered 503. Checked by printing the answers: a new connection is offered as a job (Server.track), and with HandshakeMs 0 that job of no work waits behind the one at work and holds the queue's only place. At fault: the Offer in track.

--- a/internal/lab/emu/server.go
+++ b/internal/lab/emu/server.go
@@ -229,8 +229,10 @@
 			go c.Close()
 			return
 		}
-		s.model.Offer(s.now(), model.Job{WorkMs: s.cfg.HandshakeMs})
-		s.arm()
+		if s.cfg.HandshakeMs > 0 { // no work takes no place in the queue
+			s.model.Offer(s.now(), model.Job{WorkMs: s.cfg.HandshakeMs})
+			s.arm()
+		}
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		defer s.mu.Unlock()
