Judge drains by when an attempt was sent, not by when a cut link let it through

Seen: a test with a cut and a drain broke rule 3: an attempt that its agent had given up 5.6 s before reached its server when the link healed, 4.5 s after the drain was told. Checked: the protocol counts a send's time from its first byte; the emulated server took the time at which it read. At fault: the Attempted event of emu.ServeHTTP, and rule 3 of the referee, which used its time.

Change: a link's connection knows when the first byte since the last answer came; the event carries it.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -342,15 +342,32 @@
 	delay    time.Duration // of the first message
 	once     sync.Once
 	gone     chan struct{}
+
+	mu     sync.Mutex
+	sentAt time.Time // the first byte of the message that is read now
+	begun  bool      // since the last write
 }
 
 // From names the near party.
 func (c *conn) From() string { return c.link.near }
 
+// Sent is when the near party sent the first byte since it was last answered, however long the
+// link has held it.
+func (c *conn) Sent() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sentAt
+}
+
 // Read brings what the near party sent when it would have arrived.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
+		c.mu.Lock()
+		if !c.begun {
+			c.sentAt, c.begun = time.Now(), true
+		}
+		c.mu.Unlock()
 		more := c.delay
 		c.delay = 0
 		if !c.link.way(true, more, c.gone) {
@@ -362,6 +379,9 @@
 
 // Write sends to the near party, and returns when it would have arrived.
 func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.begun = false
+	c.mu.Unlock()
 	if !c.link.way(false, 0, c.gone) {
 		return 0, net.ErrClosed
 	}
--- a/internal/lab/referee/referee_test.go
+++ b/internal/lab/referee/referee_test.go
@@ -62,6 +62,8 @@
 		{"key past its window", 2, "past the window", []Event{asked("a", Keyed), ran(200*ms, "a", Keyed, "k"), ran(4300*ms, "a", Keyed, "k"), answer(900*ms, "a", 200)}},
 		{"sent within the grace", 0, "", []Event{told(50*ms, "draining"), asked("a", Once), at(2100*ms, Attempted, "a"), answer(900*ms, "a", 200)}},
 		{"sent after the grace", 3, "told as draining", []Event{told(50*ms, "draining"), asked("a", Once), at(2101*ms, Attempted, "a"), answer(900*ms, "a", 200)}},
+		{"sent within it and held on its way", 0, "", []Event{told(50*ms, "draining"), asked("a", Once), {At: 9000 * ms, Kind: Attempted, Agent: "n1", Server: "s1", Request: "a", Sent: 2100 * ms}, answer(900*ms, "a", 200)}},
+		{"sent after it, whenever it came", 3, "told as draining", []Event{told(50*ms, "draining"), asked("a", Once), {At: 9000 * ms, Kind: Attempted, Agent: "n1", Server: "s1", Request: "a", Sent: 2200 * ms}, answer(900*ms, "a", 200)}},
 		{"told twice counts from the first", 3, "told as draining", []Event{told(50*ms, "draining"), told(1000*ms, "removed"), asked("a", Once), at(2101*ms, Attempted, "a"), answer(900*ms, "a", 200)}},
 		{"back up", 0, "", []Event{told(50*ms, "draining"), told(1000*ms, "up"), asked("a", Once), at(2101*ms, Attempted, "a"), answer(900*ms, "a", 200)}},
 		{"another agent was told", 0, "", []Event{{At: 50 * ms, Kind: Told, Agent: "n2", Server: "s1", State: "draining"}, asked("a", Once), at(2101*ms, Attempted, "a"), answer(900*ms, "a", 200)}},
