Let what is out of a site's reach take its part of the demand with it

Need: a site that goes on by itself holds other zones without a share.

Change: EvStandings carries the part of the fleet that the site reaches; a change of it scales demand and what there was to serve it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -107,7 +107,7 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
 		requests: map[RequestID]*request{}, keys: map[uint64]float64{}, mayProbe: probeCap,
-		own: ownLeast, again: againMost, tried: shedMemory / 2, gained: shedMemory / 2,
+		own: ownLeast, again: againMost, within: 1, tried: shedMemory / 2, gained: shedMemory / 2,
 		usage:  make([]float64, len(set.Tenants)),
 		aimMin: math.Inf(1), lookedAt: math.Inf(-1)}
 	for _, c := range set.Classes {
--- a/policy/standings.go
+++ b/policy/standings.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// This file holds what the agents of a site decided together, and what follows for picks.
+// This file holds what agents decided together, and what follows for picks.
 
 // onStandings takes the whole of what was decided; a server that is not named has its whole
 // share. Each holds for a stated time only, whatever becomes of those who decided it.
@@ -26,6 +26,10 @@
 		}
 	}
 	b.epoch++
+	// What is out of reach takes its part of the demand with it, and of what there was to serve it.
+	if k := finite(ev.Within) / b.within; k > 0 {
+		b.demand, b.peak, b.within = b.demand*k, b.peak*min(k, 1), finite(ev.Within)
+	}
 }
 
 // share is the part of its weight that a server is let have now; 0 is ejected.
--- a/policy/standings_test.go
+++ b/policy/standings_test.go
@@ -109,3 +109,30 @@
 		t.Errorf("a capacity of %v, want %v", got, want)
 	}
 }
+
+// What is out of reach takes its part of the demand with it: a site that is cut off with a
+// third of the servers lets in as much of what comes as before, where a fleet that has lost the
+// others lets in less; and what came before holds again when they are back.
+func TestWhatIsOutOfReachTakesItsDemand(t *testing.T) {
+	admitted := func(within float64) (cut, back float64) {
+		r := newRig(t, testSettings(), 6)
+		r.b.demand = 0.6 * r.b.capacity()
+		var out []Standing
+		for i := range 2 * len(r.b.servers) / 3 {
+			out = append(out, Standing{Server: r.b.servers[i].id})
+		}
+		for i := range out {
+			out[i].UntilMs = r.now + 1e6
+		}
+		r.do(Event{Kind: EvStandings, Standings: out, Within: within})
+		cut = r.b.admission()
+		r.do(Event{Kind: EvStandings, Within: 1})
+		return cut, r.b.admission()
+	}
+	if cut, back := admitted(1.0 / 3); cut < 0.99 || back < 0.99 {
+		t.Errorf("a site by itself lets in %v, and %v when the others are back", cut, back)
+	}
+	if cut, back := admitted(1); cut > 0.7 || back < 0.99 {
+		t.Errorf("a fleet of a third lets in %v, and %v when the others are back", cut, back)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -117,6 +117,7 @@
 	sampleOf             []*server // scratch of window
 	surveyed             uint64    // one more than the epoch of the last survey, which found:
 	tries                []*server // that are to be tried
+	within               float64   // part of the fleet that the site reaches
 	ill                  []*server // UnhealthyPending or Unhealthy
 	cold                 []*server
 	warmTop              float64 // weight of the usable warm servers of the top tier
--- a/policy/types.go
+++ b/policy/types.go
@@ -206,7 +206,7 @@
 	EvTimer                          // Token
 	EvPeer                           // a message of another agent; carries nothing that is used
 	EvRecall                         // Memory: what an earlier life had learned; after the first list
-	EvStandings                      // Standings: what the agents of a site decided of servers, whole
+	EvStandings                      // Standings: what was decided in common of servers, whole; Within
 )
 
 // Event is something that happened to one agent.
@@ -231,9 +231,10 @@
 	Token     uint32
 	Memory    *Memory // not changed and not kept by the Balancer
 	Standings []Standing
+	Within    float64 // part of the fleet, and of its demand, that this agent's site reaches; 1: all
 }
 
-// Standing is what the agents of a site decided of a server.
+// Standing is what agents decided together of a server.
 type Standing struct {
 	Server  Addr
 	Part    float64 // of its share that it gets, all agents alike; 0: nothing but trials
--- a/policy/verdicts.go
+++ b/policy/verdicts.go
@@ -297,7 +297,7 @@
 			b.refetch()
 		}
 		// That the process runs, all that a probe can tell, is known of one that answered.
-		pending := s.state == UnhealthyPending && s.usable && s.silent
+		pending := s.state == UnhealthyPending && s.usable && s.silent && (b.within == 1 || b.share(s) > 0)
 		if pending && b.set.Limits.Probing && !s.probing && b.mayProbe >= 1 && b.probes < probeCap {
 			b.probe(s)
 		}
