--- /dev/null
+++ b/internal/decisions/set_test.go
@@ -0,0 +1,110 @@
+package decisions
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// drawn is what a neighbour may know.
+func drawn(t *rapid.T, name string) []Entry {
+	return rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) Entry {
+		return Entry{ID: fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "id")), Incarnation: rapid.Int64Range(0, 3).Draw(t, "incarnation"),
+			State: State(rapid.IntRange(0, 2).Draw(t, "state")), Age: time.Duration(rapid.IntRange(0, 5).Draw(t, "age")) * time.Second}
+	}), 0, 5, func(e Entry) string { return e.ID }).Draw(t, name)
+}
+
+// Whatever the order in which tellings come, and however often, all hold the same, and nothing
+// moves back.
+func TestMergeHasNoOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const now = time.Minute
+		all := [][]Entry{drawn(t, "a"), drawn(t, "b"), drawn(t, "c")}
+		play := func(order []int) *Set {
+			s := NewSet()
+			for _, i := range order {
+				before := s.Entries(now)
+				if _, err := s.Merge(now, all[i]); err != nil {
+					t.Fatal(err)
+				}
+				for _, e := range before {
+					after := s.servers[e.ID]
+					if (known{e.Incarnation, e.State, 0}).after(after) {
+						t.Fatalf("%+v moved back to %+v", e, after)
+					}
+				}
+			}
+			return s
+		}
+		want := play([]int{0, 1, 2})
+		for _, order := range [][]int{{2, 1, 0}, {1, 0, 2, 1, 0}, {0, 0, 2, 2, 1}} {
+			got := play(order)
+			if !slices.Equal(got.Entries(now), want.Entries(now)) || got.Digest() != want.Digest() {
+				t.Fatalf("order %v: %v, want %v", order, got.Entries(now), want.Entries(now))
+			}
+		}
+	})
+}
+
+// The agent's own discovery goes before all else; what it leaves out is removed, and stays so
+// for those who were not told.
+func TestDiscoveryIsTheAuthority(t *testing.T) {
+	s := NewSet()
+	s.Told(0, []Entry{{ID: "a"}, {ID: "b", Incarnation: 5}}, true)
+	if _, err := s.Merge(time.Second, []Entry{{ID: "a", State: Draining}}); err != nil {
+		t.Fatal(err)
+	}
+	s.Told(2*time.Second, []Entry{{ID: "a"}}, true)
+	want := []Entry{{ID: "a", Age: time.Second}, {"b", 5, Removed, time.Second}}
+	if got := s.Entries(3 * time.Second); !slices.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+	if news, _ := s.Merge(3*time.Second, []Entry{{"b", 5, Up, 0}}); len(news) != 0 {
+		t.Errorf("a removed server is up again: %v", news)
+	}
+	if news, _ := s.Merge(3*time.Second, []Entry{{"b", 6, Up, 0}}); len(news) != 1 {
+		t.Error("its next process is not known")
+	}
+	s.Told(3*time.Second, []Entry{{ID: "a", State: Draining}}, false)
+	if got := s.Entries(3 * time.Second); got[0].State != Draining || got[1].State != Up {
+		t.Errorf("a change of one took another with it: %v", got)
+	}
+	s.Told(removedFor+time.Hour, []Entry{{ID: "a"}}, true)
+	if got := s.Entries(removedFor + time.Hour); len(got) != 2 { // b's next process is removed just now
+		t.Errorf("%v", got)
+	}
+	s.Told(2*removedFor+2*time.Hour, []Entry{{ID: "a"}}, true)
+	if got := s.Entries(2 * removedFor); len(got) != 1 {
+		t.Errorf("a removal is remembered for ever: %v", got)
+	}
+}
+
+func TestWhatMakesNoSenseIsNotTaken(t *testing.T) {
+	s := NewSet()
+	good := Entry{ID: "a"}
+	for key, bad := range map[string]Entry{"id": {}, "state": {ID: "b", State: 9}, "age": {ID: "b", Age: -1}} {
+		if _, err := s.Merge(0, []Entry{good, bad}); err == nil || !strings.Contains(err.Error(), "set[1]."+key) {
+			t.Errorf("%v, want one that names set[1].%s", err, key)
+		}
+	}
+	if len(s.Entries(0)) != 0 {
+		t.Error("a part of it was taken")
+	}
+	var many []Entry
+	for i := range MaxEntries + 1 {
+		many = append(many, Entry{ID: fmt.Sprint(i)})
+	}
+	if _, err := s.Merge(0, many); err == nil {
+		t.Error("more were taken than a set holds")
+	}
+	if _, err := s.Merge(0, many[:MaxEntries]); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Merge(0, []Entry{{ID: "one more"}}); err != nil || len(s.servers) != MaxEntries {
+		t.Errorf("%v, %d entries", err, len(s.servers))
+	}
+}
