--- a/cmd/chalkdoor/serve.go
+++ b/cmd/chalkdoor/serve.go
@@ -72,17 +72,19 @@
 			}
 			opt.Observer = m
 		}
+		var keeper *durable.Keeper
+		var recall layer.Kept
 		if file.State.Dir != "" {
-			if k := keepState(ctx, &file, &opt); k != nil {
+			if keeper, recall = openState(ctx, &file, &opt); keeper != nil {
 				defer func() {
 					end()
-					<-k.Ended()
+					<-keeper.Ended()
 				}()
 			}
 		}
+		var l *layer.Layer
 		if file.Fleet.Name != "" && len(file.Vote.Electorate) > 0 {
-			l, err := actTogether(ctx, cfg, &file)
-			if err != nil {
+			if l, err = actTogether(ctx, cfg, &file, recall); err != nil {
 				return err
 			}
 			opt.Layer = l
@@ -91,6 +93,10 @@
 				l.Close()
 			}()
 		}
+		if keeper != nil {
+			opt.RememberEvery = time.Duration(file.State.Every)
+			opt.Remember = func(kept *agent.Kept) { keeper.Remember(remembered(kept, l)) }
+		}
 		again := make(chan os.Signal, 1)
 		signal.Notify(again, syscall.SIGHUP)
 		go rereadOps(ctx, again, opsPath, file, log)
@@ -99,7 +105,7 @@
 }
 
 // actTogether starts the layer by which this agent acts with others.
-func actTogether(ctx context.Context, cfg *agent.Config, file *ops.File) (*layer.Layer, error) {
+func actTogether(ctx context.Context, cfg *agent.Config, file *ops.File, recall layer.Kept) (*layer.Layer, error) {
 	if !slices.Contains(file.Vote.Electorate, cfg.Name) {
 		return nil, fmt.Errorf("operations file: vote.electorate: %q, this agent, is not in it", cfg.Name)
 	}
@@ -107,7 +113,7 @@
 	if z := cfg.Settings.Zone; z >= 0 && z < len(cfg.Zones) {
 		zone = cfg.Zones[z]
 	}
-	c := layer.Config{Vote: file.Vote.Ballot(cfg.Name), Trace: file.Fleet.Trace, Peers: peers.Config{Fleet: file.Fleet.Name, Name: cfg.Name, Zone: zone,
+	c := layer.Config{Vote: file.Vote.Ballot(cfg.Name), Site: file.Site.Decisions(), Recall: recall, Trace: file.Fleet.Trace, Peers: peers.Config{Fleet: file.Fleet.Name, Name: cfg.Name, Zone: zone,
 		Region: file.Fleet.Region, Role: file.Fleet.Role, Boot: rand.Uint64(), Bind: file.Fleet.Bind, Advertise: file.Fleet.Advertise, Seeds: file.Fleet.Seeds}}
 	for _, class := range cfg.Settings.Classes {
 		c.Aims = append(c.Aims, time.Duration(class.AimMs*float64(time.Millisecond)))
@@ -131,16 +137,17 @@
 	return m, nil
 }
 
-// keepState opens the folder of what the agent learns, and gives it what an earlier life had
-// learned. A folder that can't be used is reported, and the agent serves without: nil.
-func keepState(ctx context.Context, file *ops.File, opt *agent.Options) *durable.Keeper {
+// openState opens the folder of what the agent learns, and gives it and its layer what an
+// earlier life had learned. A folder that can't be used is reported, and the agent serves
+// without: nil.
+func openState(ctx context.Context, file *ops.File, opt *agent.Options) (k *durable.Keeper, site layer.Kept) {
 	store, g, problems, err := durable.Open(file.State.Dir, durable.Now)
 	for _, p := range problems {
 		slog.Warn("state not believed", "where", p.Where, "why", p.Why)
 	}
 	if err != nil {
 		slog.Error("state not used, nothing is kept", "dir", file.State.Dir, "err", err)
-		return nil
+		return nil, site
 	}
 	if g != nil {
 		st, dropped := durable.Decode(g)
@@ -148,19 +155,25 @@
 			slog.Warn("state not believed", "where", p.Where, "why", p.Why)
 		}
 		opt.Recall = recalled(st)
+		if st.Site != nil { // that the uplink was lost is believed for as long as a site holds to it
+			site.Dark = st.Site.Dark && g.Dated && g.Age <= time.Duration(file.Site.Hold)
+			site.Entries = st.Site.Entries
+		}
 		m := st.Memory
 		slog.Info("state recalled", "generation", g.Seq, "age", g.Age.String(), "dated", g.Dated, "servers", len(m.Servers), "keys", len(m.Keys), "boot", store.Boot)
 	} else {
 		slog.Info("no state to recall", "dir", file.State.Dir, "boot", store.Boot)
 	}
-	k := durable.Keep(ctx, store)
-	opt.Remember, opt.RememberEvery = func(kept *agent.Kept) { k.Remember(remembered(kept)) }, time.Duration(file.State.Every)
-	return k
+	return durable.Keep(ctx, store), site
 }
 
-// remembered and recalled take what is kept to its form on the disk, and back.
-func remembered(kept *agent.Kept) *durable.State {
+// remembered and recalled take what is kept to its form on the disk, and back; l may be nil.
+func remembered(kept *agent.Kept, l *layer.Layer) *durable.State {
 	s := &durable.State{Memory: kept.Memory, Discovery: kept.Discovery, Version: kept.List.Version, Targets: map[string]json.RawMessage{}}
+	if l != nil {
+		k := l.Kept()
+		s.Site = &durable.Site{Dark: k.Dark, Entries: k.Entries}
+	}
 	for _, t := range kept.List.Servers {
 		text, err := json.Marshal(t)
 		if err != nil { // a number that has no form in JSON: no list is better than half of one
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -78,6 +78,8 @@
 	limit  *rate.Limiter
 	// told is called with each answer; a nil list is a failure.
 	told func(l *List, watch bool, err error)
+	// heard, if not nil, is called at each answer, also one that says nothing new.
+	heard func()
 }
 
 // dialer opens connections to a discovery.
@@ -203,6 +205,9 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	if d.heard != nil {
+		d.heard()
+	}
 	return &l, nil
 }
 
--- a/internal/agent/layer_test.go
+++ b/internal/agent/layer_test.go
@@ -13,8 +13,10 @@
 	ready  chan struct{}
 	mu     sync.Mutex
 	listed []Target
+	told   int
+	heard  int
 	sights []Sight
-	table  []Standing
+	orders Orders
 }
 
 func (f *fakeLayer) Listed(list []Target) {
@@ -23,6 +25,18 @@
 	f.listed = list
 }
 
+func (f *fakeLayer) Told(list []Target, whole bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told++
+}
+
+func (f *fakeLayer) Heard() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard++
+}
+
 func (f *fakeLayer) Attempted(s Sight) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -31,15 +45,17 @@
 
 func (f *fakeLayer) Ready() <-chan struct{} { return f.ready }
 
-func (f *fakeLayer) Standings() []Standing {
+func (f *fakeLayer) Orders() Orders {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table
+	return f.orders
 }
 
-func (f *fakeLayer) decide(a *testAgent, table ...Standing) {
+func (f *fakeLayer) decide(a *testAgent, table ...Standing) { f.order(a, Orders{Standings: table}) }
+
+func (f *fakeLayer) order(a *testAgent, o Orders) {
 	f.mu.Lock()
-	f.table = table
+	f.orders = o
 	f.mu.Unlock()
 	f.ready <- struct{}{} // unbuffered: the loop has it, and what is posted next comes after
 	done := make(chan struct{})
@@ -78,3 +94,50 @@
 		t.Errorf("%d requests on trial, want 1", one.count())
 	}
 }
+
+// A zone whose share is nothing gets nothing while that holds, not even a try, and its part of
+// the fleet goes with it; one that has lapsed holds no more.
+func TestAZoneWithoutAShare(t *testing.T) {
+	near, far := newBackend(t, serving), newBackend(t, serving)
+	one, other := target("s-1", near.addr), target("s-2", far.addr)
+	one.Zone, other.Zone = "east", "west"
+	layer := &fakeLayer{ready: make(chan struct{})}
+	a := startAgentWith(t, newDiscoveryServer(t, one, other), nil, func(l *loop) { l.layer = layer })
+	layer.order(a, Orders{Zones: []ZoneStanding{{Zone: "west", Left: time.Minute}}, Standings: []Standing{{ID: "s-2", Part: 1, Left: time.Hour, Try: true}}})
+	for range 10 {
+		status, _, _ := a.ask(newRequest(a.addr, "read", "x"))
+		wantStatus(t, status, 200)
+	}
+	if near.count() != 10 || far.count() != 0 {
+		t.Errorf("%d requests in the zone and %d out of it, want 10 and 0", near.count(), far.count())
+	}
+	layer.order(a, Orders{Zones: []ZoneStanding{{Zone: "west"}, {Zone: "east", Left: time.Minute}}})
+	status, _, _ := a.ask(newRequest(a.addr, "read", "x"))
+	wantStatus(t, status, 200)
+	if far.count() != 1 {
+		t.Errorf("%d requests to the zone whose standing has lapsed, want 1", far.count())
+	}
+}
+
+// What neighbours were told of a server goes before this agent's list only where it comes
+// after: a drain is taken, what is older or of a server that is not listed here is not.
+func TestHearsay(t *testing.T) {
+	one, two := newBackend(t, serving), newBackend(t, serving)
+	first, second := target("s-1", one.addr), target("s-2", two.addr)
+	second.StartedMs = 7
+	layer := &fakeLayer{ready: make(chan struct{})}
+	a := startAgentWith(t, newDiscoveryServer(t, first, second), nil, func(l *loop) { l.layer = layer })
+	layer.order(a, Orders{Told: []Target{{ID: "s-1", State: "draining"}, {ID: "s-2", State: "removed", StartedMs: 6}, {ID: "s-3", State: "up"}}})
+	for range 6 {
+		status, _, _ := a.ask(newRequest(a.addr, "read", "x"))
+		wantStatus(t, status, 200)
+	}
+	if one.count() != 0 || two.count() != 6 {
+		t.Errorf("%d requests to the server that drains, %d to the other, want 0 and 6", one.count(), two.count())
+	}
+	layer.mu.Lock()
+	defer layer.mu.Unlock()
+	if len(layer.listed) != 2 || layer.told == 0 && layer.heard > 0 {
+		t.Errorf("%d servers listed, told %d times, heard %d times", len(layer.listed), layer.told, layer.heard)
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -139,6 +139,11 @@
 			}
 		})
 	}
+	d.heard = func() {
+		if l.layer != nil {
+			l.layer.Heard()
+		}
+	}
 	l.disc = d
 }
 
@@ -188,17 +193,17 @@
 		keep = ticker.C
 		defer func() { l.remember(l.kept()) }()
 	}
-	var standings <-chan struct{}
+	var orders <-chan struct{}
 	if l.layer != nil {
-		standings = l.layer.Ready()
+		orders = l.layer.Ready()
 	}
 	for {
 		select {
 		case f := <-l.inbox:
 			f()
 			l.drain()
-		case <-standings:
-			l.stand(l.layer.Standings())
+		case <-orders:
+			l.obey(l.layer.Orders())
 			l.drain()
 		case <-sweep.C:
 			l.sender.pool.sweep()
@@ -469,7 +474,7 @@
 	r.out--
 	l.observer.Attempted(res.status, ms(res.latencyMs))
 	if l.layer != nil {
-		l.layer.Attempted(Sight{ID: t.backend.id, StartedMs: t.startedMs, Class: r.call.class, Status: res.status, Took: ms(res.latencyMs)})
+		l.layer.Attempted(Sight{ID: t.backend.id, Zone: l.targets[t.backend.id].Zone, StartedMs: t.startedMs, Class: r.call.class, Status: res.status, Took: ms(res.latencyMs)})
 	}
 	if res.status.NeverRan() {
 		r.mayRun--
@@ -540,6 +545,9 @@
 	if list.Full {
 		kind = policy.ListFull
 	}
+	if l.layer != nil {
+		l.layer.Told(list.Servers, list.Full)
+	}
 	l.list(list, kind, list.Full)
 	if l.table.usable() {
 		l.ready()
--- a/internal/agent/observe.go
+++ b/internal/agent/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"maps"
 	"os"
 	"slices"
@@ -54,22 +55,46 @@
 	Layer Layer
 }
 
-// Layer is how an agent acts together with others. The loop calls it, so its methods must
-// not block. What it says enters the module as an event, and nothing else of the agent acts
-// on it.
+// Layer is how an agent acts together with others. Its methods must not block. What it says
+// enters the module as an event, and nothing else of the agent acts on it; but the list goes on
+// by what neighbours were told while discovery can't be heard here.
 type Layer interface {
-	// Listed tells of the whole list at each change of it.
+	// Listed tells of the whole list as the agent has it, at each change of it.
 	Listed([]Target)
+	// Told tells what discovery itself has told: changes, or the whole list.
+	Told(list []Target, whole bool)
+	// Heard tells that discovery has answered a call. It may be called from any goroutine.
+	Heard()
 	// Attempted tells of the end of an attempt.
 	Attempted(Sight)
-	// Ready receives when there are new standings, and Standings are those, whole.
+	// Ready receives when there are new orders, and Orders are those.
 	Ready() <-chan struct{}
-	Standings() []Standing
+	Orders() Orders
+}
+
+// Orders are what the layer wants of an agent now; they take the place of those before.
+type Orders struct {
+	// Standings are of servers, whole: one not named has its whole share.
+	Standings []Standing
+	// Zones are of zones, whole: one not named has its whole share.
+	Zones []ZoneStanding
+	// Ask asks discovery for the whole list, once.
+	Ask bool
+	// Told is what neighbours were told of servers: ID, State and StartedMs.
+	Told []Target
+}
+
+// ZoneStanding is what the layer decided of a zone.
+type ZoneStanding struct {
+	Zone  string
+	Share float64       // part of the shares of its servers that is used; 0: nothing is sent there
+	Left  time.Duration // that it holds
 }
 
 // Sight is the end of an attempt or of a probe, with the server that it was sent to.
 type Sight struct {
 	ID        string
+	Zone      string
 	Probe     bool
 	StartedMs float64 // of the process that it was sent to, by the list
 	Class     int
@@ -123,17 +148,72 @@
 	}
 }
 
-// stand hands the module what the layer decided; a server that is not listed, or listed as
-// another process by now, is left out.
-func (l *loop) stand(table []Standing) {
+// obey hands the module what the layer decided, and takes over what neighbours were told.
+func (l *loop) obey(o Orders) {
+	l.hearsay(o.Told)
+	if o.Ask && !l.fetching {
+		l.fetching = true
+		go l.disc.fetch()
+	}
 	var out []policy.Standing
-	for _, s := range table {
+	at := map[string]int{}
+	for _, s := range o.Standings {
+		// A server that is not listed, or listed as another process by now, is left out.
 		if b := l.table.byID[s.ID]; b != nil && b.startedMs == s.StartedMs {
-			out = append(out, policy.Standing{Server: b.name, Part: s.Part, UntilMs: l.now() + float64(s.Left.Microseconds())/1000,
-				Try: s.Try, Probe: s.Probe})
+			at[s.ID] = len(out)
+			out = append(out, policy.Standing{Server: b.name, Part: s.Part, UntilMs: l.until(s.Left), Try: s.Try, Probe: s.Probe})
+		}
+	}
+	// A zone's share is one of each of its servers.
+	whole, within := 0.0, 0.0
+	for _, id := range slices.Sorted(maps.Keys(l.targets)) {
+		t, b := l.targets[id], l.table.byID[id]
+		if b == nil || t.State != "up" {
+			continue
+		}
+		whole += t.Weight
+		within += t.Weight
+		i := slices.IndexFunc(o.Zones, func(z ZoneStanding) bool { return z.Zone == t.Zone })
+		if i < 0 || o.Zones[i].Left <= 0 {
+			continue
 		}
+		z := o.Zones[i]
+		within -= t.Weight * (1 - z.Share)
+		j, named := at[id]
+		if !named {
+			j = len(out)
+			out = append(out, policy.Standing{Server: b.name, Part: 1, UntilMs: l.until(z.Left)})
+		}
+		s := &out[j]
+		s.Part *= z.Share
+		s.UntilMs = min(s.UntilMs, l.until(z.Left)) // neither outlasts its own time
+		s.Try, s.Probe = s.Try && z.Share > 0, s.Probe && z.Share > 0
+	}
+	l.handle(&policy.Event{Kind: policy.EvStandings, Standings: out, Within: within / max(whole, 1e-9)})
+}
+
+// until is the module's time at which so much has passed.
+func (l *loop) until(left time.Duration) float64 { return l.now() + float64(left.Microseconds())/1000 }
+
+// hearsay takes over what neighbours were told of servers that are listed here: later
+// processes, drains and removals. Addresses may differ between agents, so of a server that is
+// not listed here nothing can be used.
+func (l *loop) hearsay(told []Target) {
+	changed := List{Version: l.version}
+	order := []string{"up", "draining", "removed"}
+	for _, n := range told {
+		t, ok := l.targets[n.ID]
+		is, was := slices.Index(order, n.State), slices.Index(order, t.State)
+		if !ok || n.StartedMs < t.StartedMs || n.StartedMs == t.StartedMs && is <= was {
+			continue
+		}
+		t.State, t.StartedMs = n.State, n.StartedMs
+		changed.Servers = append(changed.Servers, t)
+	}
+	if len(changed.Servers) > 0 {
+		l.log(slog.LevelInfo, "list goes on by what neighbours were told", "servers", len(changed.Servers))
+		l.list(&changed, policy.ListDelta, false)
 	}
-	l.handle(&policy.Event{Kind: policy.EvStandings, Standings: out})
 }
 
 // firstList is the list to start with: the platform's, or the kept one where that is of the
--- a/internal/durable/memory.go
+++ b/internal/durable/memory.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"chalkdoor.example/chalkdoor/internal/decisions"
 	"chalkdoor.example/chalkdoor/policy"
 )
 
@@ -18,6 +19,8 @@
 	tableKeys, versionKeys       = "keys", 1
 	tableLoad, versionLoad       = "load", 1
 	tableList, versionList       = "list", 1
+	// tableSite came later: a file without it is of an agent that acted alone.
+	tableSite, versionSite = "site", 1
 )
 
 // State is all that an agent keeps: what it has learned, and the list as it was told, each
@@ -27,6 +30,13 @@
 	Discovery string
 	Version   uint64
 	Targets   map[string]json.RawMessage // by id
+	Site      *Site                      // nil: the agent acts alone
+}
+
+// Site is what an agent knows of its site by its neighbours, ages as of the save.
+type Site struct {
+	Dark    bool // the uplink was lost
+	Entries []decisions.Entry
 }
 
 // head is what a list's version counts for. No id of a server is empty.
@@ -66,6 +76,13 @@
 			t[tableList]["="+id] = Record{versionList, target}
 		}
 	}
+	if s.Site != nil {
+		text, err := json.Marshal(s.Site)
+		if err != nil {
+			return nil, fmt.Errorf("durable: site: %w", err)
+		}
+		t[tableSite] = map[string]Record{"now": {versionSite, text}}
+	}
 	for i := range m.Servers[:min(len(m.Servers), maxServers)] {
 		text, err := json.Marshal(&m.Servers[i])
 		if err != nil {
@@ -131,6 +148,17 @@
 		}
 	}
 	st.Memory = m
+	if r, ok := g.Tables[tableSite]["now"]; ok {
+		var s Site
+		if err := json.Unmarshal(r.Value, &s); err != nil || r.Version != versionSite || len(s.Entries) > decisions.MaxEntries {
+			drop(tableSite, "now", fmt.Sprintf("version %d, %d entries, %v", r.Version, len(s.Entries), err))
+		} else {
+			for i := range s.Entries {
+				s.Entries[i].Age = min(s.Entries[i].Age, decisions.Undated) + min(g.Age, decisions.Undated)
+			}
+			st.Site = &s
+		}
+	}
 	r, ok := g.Tables[tableList][listHead]
 	if !ok {
 		if len(g.Tables[tableList]) > 0 {
--- a/internal/durable/memory_test.go
+++ b/internal/durable/memory_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"path/filepath"
 	"reflect"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"chalkdoor.example/chalkdoor/internal/decisions"
 	"chalkdoor.example/chalkdoor/policy"
 )
 
@@ -138,3 +142,32 @@
 		s.Close()
 	}
 }
+
+// What an agent knows of its site comes back older by the generation's age; a file from before
+// there was such a table, and one whose record makes no sense, bring none, and the rest stays.
+func TestTheSiteComesBack(t *testing.T) {
+	st := state(memory(1, 1))
+	st.Site = &Site{Dark: true, Entries: []decisions.Entry{{ID: "s", Incarnation: 4, State: decisions.Draining, Age: time.Minute}, {ID: "u", Age: math.MaxInt64}}}
+	tt, err := Encode(st)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, problems := Decode(&Generation{Tables: tt, Age: 2 * time.Second, Dated: true})
+	want := []decisions.Entry{{ID: "s", Incarnation: 4, State: decisions.Draining, Age: 62 * time.Second}, {ID: "u", Age: decisions.Undated + 2*time.Second}}
+	if len(problems) > 0 || back.Site == nil || !back.Site.Dark || !slices.Equal(back.Site.Entries, want) {
+		t.Errorf("%+v, %v", back.Site, problems)
+	}
+	if back, _ := Decode(&Generation{Tables: tt, Age: longest}); back.Site.Entries[0].Age != decisions.Undated+time.Minute {
+		t.Errorf("undated: %+v", back.Site)
+	}
+	delete(tt, tableSite)
+	if back, problems := Decode(&Generation{Tables: tt}); back.Site != nil || len(problems) > 0 || len(back.Targets) != 2 {
+		t.Errorf("%+v, %v", back, problems)
+	}
+	for _, bad := range []Record{{versionSite + 1, []byte("{}")}, {versionSite, []byte("{")}} {
+		tt[tableSite] = map[string]Record{"now": bad}
+		if back, problems := Decode(&Generation{Tables: tt}); back.Site != nil || len(problems) != 1 || !strings.Contains(problems[0].Where, tableSite) || len(back.Targets) != 2 {
+			t.Errorf("%+v, %v", back, problems)
+		}
+	}
+}
--- a/internal/lab/liar/liar.go
+++ b/internal/lab/liar/liar.go
@@ -12,6 +12,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/ballot"
 	"chalkdoor.example/chalkdoor/internal/evidence"
+	"chalkdoor.example/chalkdoor/internal/layer"
 	"chalkdoor.example/chalkdoor/internal/peers"
 	"chalkdoor.example/chalkdoor/internal/task"
 )
@@ -60,9 +61,9 @@
 func (l *Liar) Close() { l.sup.Close() }
 
 // Got is of peers.Sink.
-func (l *Liar) Got(body []byte) {
+func (l *Liar) Got(kind peers.Kind, body []byte) {
 	var m ballot.Letter
-	if peers.Decode(body, &m) != nil || m.Check() != nil {
+	if kind != layer.KindLetter || peers.Decode(body, &m) != nil || m.Check() != nil {
 		return
 	}
 	l.mu.Lock()
@@ -75,8 +76,10 @@
 	}
 }
 
-// Members is of peers.Sink.
+// Members, State and Merge are of peers.Sink.
 func (l *Liar) Members([]peers.Peer) {}
+func (l *Liar) State() []byte        { return nil }
+func (l *Liar) Merge([]byte)         {}
 
 func (l *Liar) speak(ctx context.Context) error {
 	tick := time.NewTicker(speakEvery)
@@ -118,7 +121,7 @@
 		if err != nil {
 			return err
 		}
-		l.peers.Mailbox().Put(peers.Send{To: name, Body: body})
+		l.peers.Mailbox().Put(peers.Send{To: name, Kind: layer.KindLetter, Body: body})
 	}
 	return nil
 }
--- a/internal/layer/layer.go
+++ b/internal/layer/layer.go
@@ -1,8 +1,9 @@
 // Package layer puts the parts together by which agents act as one, and gives them to the
 // agent as one thing. Without an operations file that names peers nothing of it runs.
 //
-// The parts are tasks: peers carries messages, the vote owns the evidence and the ballot. The
-// agent's loop hands over what it saw and takes the standings; neither waits for the other.
+// The parts are tasks: peers carries messages, the vote owns the evidence and the ballot, the
+// site what its agents were told of servers and whether its uplink is lost. The agent's loop
+// hands over what it saw and takes orders; neither waits for the other.
 package layer
 
 import (
@@ -11,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"slices"
 	"sync"
@@ -18,6 +20,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/agent"
 	"chalkdoor.example/chalkdoor/internal/ballot"
+	"chalkdoor.example/chalkdoor/internal/decisions"
 	"chalkdoor.example/chalkdoor/internal/evidence"
 	"chalkdoor.example/chalkdoor/internal/peers"
 	"chalkdoor.example/chalkdoor/internal/task"
@@ -36,24 +39,40 @@
 type Config struct {
 	Peers peers.Config
 	Vote  ballot.Config // Self and Boot are those of Peers
-	Trace string        // file that the steps of the vote are added to; empty: none
+	// Site is how the site finds out that its uplink is lost. Its members are those of the roll.
+	Site decisions.Config
+	// Recall is what an earlier life's Kept had, ages counted on.
+	Recall Kept
+	Trace  string // file that the steps of the vote and of the site are added to; empty: none
 	// Aims are the classes' aims, by which an answer is slow.
 	Aims []time.Duration
 }
 
 // Layer runs the tasks of one agent. It implements agent.Layer.
 type Layer struct {
-	cfg   Config
-	sup   *task.Supervisor
-	peers *peers.Peers
-	box   *task.Mailbox // of the vote
-	trace *tracer
-	start time.Time
-
-	ready chan struct{}
-	mu    sync.Mutex
-	table []agent.Standing       // Left is the layer's time at which it ends
-	tries map[evidence.Host]bool // asked for and not yet handed over: whether by a probe
+	cfg     Config
+	sup     *task.Supervisor
+	peers   *peers.Peers
+	box     *task.Mailbox // of the vote
+	siteBox *task.Mailbox
+	trace   *tracer
+	start   time.Time
+
+	ready  chan struct{}
+	mu     sync.Mutex             // of what the loop takes next, and of what was last Kept:
+	table  []agent.Standing       // Left is the layer's time at which it ends
+	tries  map[evidence.Host]bool // asked for and not yet handed over: whether by a probe
+	zones  []agent.ZoneStanding   // Left as in table
+	ask    bool
+	news   map[string]agent.Target
+	last   Kept
+	lastAt time.Duration
+}
+
+// Kept is what the site's task has, for its next life, for neighbours and for the disk.
+type Kept struct {
+	Dark    bool
+	Entries []decisions.Entry // ages as of when it was kept
 }
 
 // Start starts the tasks; they end with ctx, and Close waits for them. Only what makes no
@@ -63,7 +82,12 @@
 	if err := cfg.Vote.Validate(); err != nil {
 		return nil, fmt.Errorf("layer: %w", err)
 	}
-	l := &Layer{cfg: cfg, box: task.NewMailbox(voteSize), start: time.Now(), ready: make(chan struct{}, 1), tries: map[evidence.Host]bool{}}
+	cfg.Site.Self, cfg.Site.Site, cfg.Site.Seed = cfg.Peers.Name, cfg.Vote.Roll.Members, cfg.Peers.Boot
+	if err := cfg.Site.Validate(); err != nil {
+		return nil, fmt.Errorf("layer: %w", err)
+	}
+	l := &Layer{cfg: cfg, box: task.NewMailbox(voteSize), siteBox: task.NewMailbox(siteSize), start: time.Now(), ready: make(chan struct{}, 1),
+		tries: map[evidence.Host]bool{}, news: map[string]agent.Target{}, last: cfg.Recall}
 	if cfg.Trace != "" {
 		var err error
 		if l.trace, err = openTrace(cfg.Trace, cfg.Peers.Name, cfg.Peers.Boot); err != nil {
@@ -74,6 +98,7 @@
 	l.sup = task.NewSupervisor(ctx, nil)
 	l.sup.Go("peers", l.peers.Run)
 	l.sup.Go("vote", l.vote)
+	l.sup.Go("site", l.site)
 	return l, nil
 }
 
@@ -89,8 +114,11 @@
 // ---- what the vote is told ----
 
 type (
-	sight   struct{ evidence.Sight }
-	listed  struct{ hosts []evidence.Listed }
+	sight  struct{ evidence.Sight }
+	listed struct {
+		hosts   []evidence.Listed
+		entries []decisions.Entry
+	}
 	letter  struct{ *ballot.Letter }
 	members struct{ list []peers.Peer }
 )
@@ -133,9 +161,19 @@
 			hosts = append(hosts, evidence.Listed{Host: evidence.Host{ID: t.ID, Incarnation: int64(t.StartedMs)}, Zone: t.Zone, Weight: max(t.Weight, 0)})
 		}
 	}
-	l.box.Put(listed{hosts})
+	m := listed{hosts, entries(list, decisions.Undated)}
+	l.box.Put(m)
+	l.siteBox.Put(m)
+}
+
+// Told takes what discovery told, from the agent's loop.
+func (l *Layer) Told(list []agent.Target, whole bool) {
+	l.siteBox.Put(told{entries(list, 0), whole})
 }
 
+// Heard takes that discovery answered a call.
+func (l *Layer) Heard() { l.siteBox.Put(heard{decisions.List}) }
+
 // Attempted takes the end of an attempt, from the agent's loop.
 func (l *Layer) Attempted(s agent.Sight) {
 	kind, ok := kindOf(s.Status)
@@ -145,6 +183,9 @@
 	if !ok || s.Class < 0 || s.Class >= len(l.cfg.Aims) {
 		return
 	}
+	if kind == evidence.Good && !s.Probe && s.Zone != "" && s.Zone != l.cfg.Peers.Zone {
+		l.siteBox.Put(heard{decisions.Answer})
+	}
 	now := l.now()
 	l.box.Put(sight{evidence.Sight{Host: evidence.Host{ID: s.ID, Incarnation: int64(s.StartedMs)}, Class: s.Class, Kind: kind,
 		OfAim: s.Took.Seconds() / l.cfg.Aims[s.Class].Seconds(), Sent: now - s.Took, At: now, Probe: s.Probe}})
@@ -168,20 +209,86 @@
 // sink takes what peers bring.
 type sink struct{ l *Layer }
 
-func (s sink) Got(body []byte) {
-	var m ballot.Letter
+// The kinds of messages between layers.
+const (
+	KindLetter peers.Kind = 'l'
+	KindWord   peers.Kind = 'w'
+	KindPing   peers.Kind = 'p'
+)
+
+func (s sink) Got(kind peers.Kind, body []byte) {
+	var err error
+	switch kind {
+	case KindLetter:
+		var m ballot.Letter
+		if err = decode(body, &m, m.Check); err == nil {
+			s.l.box.Put(letter{&m})
+		}
+	case KindWord:
+		var m decisions.Word
+		if err = decode(body, &m, m.Check); err == nil {
+			s.l.siteBox.Put(word{m})
+		}
+	case KindPing:
+		var m ping
+		if err = decode(body, &m, m.check); err == nil {
+			s.l.siteBox.Put(m)
+		}
+	default:
+		err = fmt.Errorf("layer: message: unknown kind %q", kind)
+	}
+	if err != nil {
+		slog.Debug("message not believed", "err", err)
+	}
+}
+
+// decode reads a message and checks it.
+func decode(body []byte, m any, check func() error) error {
+	if err := peers.Decode(body, m); err != nil {
+		return err
+	}
+	return check()
+}
+
+func (s sink) Members(list []peers.Peer) {
+	s.l.box.Put(members{list})
+	s.l.siteBox.Put(members{list})
+}
+
+// State is the set as of now.
+func (s sink) State() []byte {
+	k := s.l.Kept()
+	body, err := peers.Encode(state{decisions.Version, s.l.cfg.Peers.Name, s.l.cfg.Peers.Zone, k.Entries})
+	if err != nil {
+		slog.Error("site: set not handed over", "err", err)
+		return nil
+	}
+	return body
+}
+
+// Merge takes a neighbour's set.
+func (s sink) Merge(body []byte) {
+	var m state
 	err := peers.Decode(body, &m)
-	if err == nil {
-		err = m.Check()
+	if err == nil && m.Version != decisions.Version {
+		err = fmt.Errorf("site: set: version: %d, %d is spoken", m.Version, decisions.Version)
 	}
 	if err != nil {
-		slog.Debug("vote: letter not believed", "err", err)
+		slog.Warn("site: set not believed", "from", m.From, "err", err)
 		return
 	}
-	s.l.box.Put(letter{&m})
+	s.l.siteBox.Put(shared{m})
 }
 
-func (s sink) Members(list []peers.Peer) { s.l.box.Put(members{list}) }
+// send sends a message to a peer.
+func (l *Layer) send(to string, kind peers.Kind, m any) {
+	body, err := peers.Encode(m)
+	if err != nil {
+		slog.Error("message not sent", "to", to, "err", err)
+		return
+	}
+	l.peers.Mailbox().Put(peers.Send{To: to, Kind: kind, Body: body})
+}
 
 // ---- the vote ----
 
@@ -224,12 +331,7 @@
 // carryOut does what the core asks.
 func (l *Layer) carryOut(out *ballot.Out) {
 	for to, m := range out.Letters {
-		body, err := peers.Encode(m)
-		if err != nil {
-			slog.Error("vote: letter not sent", "err", err)
-			continue
-		}
-		l.peers.Mailbox().Put(peers.Send{To: to, Body: body})
+		l.send(to, KindLetter, m)
 	}
 	for _, n := range out.Notes {
 		level := slog.LevelDebug
@@ -238,7 +340,8 @@
 		}
 		slog.Log(context.Background(), level, "vote: "+n.Kind, "host", n.Host.ID, "incarnation", n.Host.Incarnation, "why", n.Why.String(),
 			"attempts", n.Attempts, "bad", n.Bad, "roll", n.Roll, "granters", len(n.Granters))
-		l.trace.write(n, l.now())
+		l.trace.write(Line{Kind: n.Kind, Host: n.Host.ID, Incarnation: n.Host.Incarnation, Why: n.Why.String(), Roll: n.Roll,
+			Attempts: n.Attempts, Bad: n.Bad, Granters: n.Granters, LeftMs: max(n.Until-n.At, 0).Milliseconds()}, n.At, l.now())
 	}
 	if out.Changed {
 		l.hand(out.Table)
@@ -266,31 +369,85 @@
 			l.table = append(l.table, agent.Standing{ID: h.ID, StartedMs: float64(h.Incarnation), Part: 1, Try: !probe, Probe: probe})
 		}
 	}
+	l.wake()
+}
+
+// handZones makes the zones' standings those that the loop takes next, and asks for the list.
+func (l *Layer) handZones(zones []agent.ZoneStanding, ask bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.zones, l.ask = zones, l.ask || ask
+	l.wake()
+}
+
+// tellNews hands over what neighbours were told; of one server the newest is enough.
+func (l *Layer) tellNews(news []decisions.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range news {
+		if len(l.news) < newsMost || l.news[e.ID].ID != "" {
+			l.news[e.ID] = agent.Target{ID: e.ID, State: e.State.String(), StartedMs: float64(e.Incarnation)}
+		}
+	}
+	l.wake()
+}
+
+func (l *Layer) wake() {
 	select {
 	case l.ready <- struct{}{}:
 	default:
 	}
 }
 
-// Ready receives when there are new standings.
+// keep keeps what the site's task has, and Kept is that, older by what has passed since.
+func (l *Layer) keep(k Kept, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last, l.lastAt = k, now
+}
+
+func (l *Layer) Kept() Kept {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := Kept{l.last.Dark, slices.Clone(l.last.Entries)}
+	for i := range k.Entries {
+		k.Entries[i].Age += max(l.now()-l.lastAt, 0)
+	}
+	return k
+}
+
+// Ready receives when there are new orders.
 func (l *Layer) Ready() <-chan struct{} { return l.ready }
 
-// Standings are the newest, whole; those asked for a try are so once. What is left of each is
-// counted as of now: the process may have been paused since they were handed over.
-func (l *Layer) Standings() []agent.Standing {
+// Orders are the newest; what is asked for, and what neighbours were told, is so once. What is
+// left of each standing is counted as of now: the process may have been paused since it was
+// handed over.
+func (l *Layer) Orders() agent.Orders {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	clear(l.tries)
-	out, now := slices.Clone(l.table), l.now()
-	for i := range out {
-		out[i].Left = max(out[i].Left-now, 0)
+	now := l.now()
+	o := agent.Orders{Standings: slices.Clone(l.table), Zones: slices.Clone(l.zones), Ask: l.ask}
+	for i := range o.Standings {
+		o.Standings[i].Left = max(o.Standings[i].Left-now, 0)
+	}
+	for i := range o.Zones {
+		o.Zones[i].Left = max(o.Zones[i].Left-now, 0)
 	}
-	return out
+	for _, id := range slices.Sorted(maps.Keys(l.news)) {
+		o.Told = append(o.Told, l.news[id])
+	}
+	for i := range l.table { // each try is asked for once, each server for once that is only to be tried
+		l.table[i].Try, l.table[i].Probe = false, false
+	}
+	clear(l.tries)
+	clear(l.news)
+	l.ask = false
+	return o
 }
 
 // ---- the trace ----
 
-// Line is a step of the vote in a trace: a line of JSON. Times are of the day, in Unix ms, to
+// Line is a step of the vote, or of the site, in a trace: a line of JSON. Times are of the day, in Unix ms, to
 // set the traces of agents beside each other; nothing is decided by them.
 type Line struct {
 	AtMs        int64    `json:"at_ms"`
@@ -307,8 +464,9 @@
 	LeftMs      int64    `json:"left_ms,omitempty"`
 }
 
-// tracer writes a trace; a nil one writes none. The vote alone uses it.
+// tracer writes a trace; a nil one writes none. It is safe for concurrent use.
 type tracer struct {
+	mu    sync.Mutex
 	file  *os.File
 	out   *bufio.Writer
 	agent string
@@ -320,16 +478,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &tracer{f, bufio.NewWriter(f), name, boot}, nil
+	return &tracer{file: f, out: bufio.NewWriter(f), agent: name, boot: boot}, nil
 }
 
-func (t *tracer) write(n ballot.Note, now time.Duration) {
+// write adds a step that happened at a time of the layer's clock.
+func (t *tracer) write(line Line, at, now time.Duration) {
 	if t == nil {
 		return
 	}
-	text, err := json.Marshal(Line{AtMs: time.Now().Add(n.At - now).UnixMilli(), Agent: t.agent, Boot: t.boot, Kind: n.Kind, Host: n.Host.ID,
-		Incarnation: n.Host.Incarnation, Why: n.Why.String(), Roll: n.Roll, Attempts: n.Attempts, Bad: n.Bad, Granters: n.Granters,
-		LeftMs: max(n.Until-n.At, 0).Milliseconds()})
+	line.Agent, line.Boot, line.AtMs = t.agent, t.boot, time.Now().Add(at-now).UnixMilli()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	text, err := json.Marshal(line)
 	if err == nil {
 		_, err = t.out.Write(append(text, '\n'))
 	}
@@ -337,7 +497,7 @@
 		err = t.out.Flush()
 	}
 	if err != nil {
-		slog.Warn("vote: trace not written", "err", err)
+		slog.Warn("trace not written", "err", err)
 	}
 }
 
--- a/internal/layer/layer_test.go
+++ b/internal/layer/layer_test.go
@@ -7,6 +7,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/agent"
 	"chalkdoor.example/chalkdoor/internal/ballot"
+	"chalkdoor.example/chalkdoor/internal/decisions"
 	"chalkdoor.example/chalkdoor/internal/evidence"
 	"chalkdoor.example/chalkdoor/internal/leak"
 	"chalkdoor.example/chalkdoor/internal/peers"
@@ -17,7 +18,7 @@
 func TestMain(m *testing.M) { leak.Main(m) }
 
 func bare() *Layer {
-	return &Layer{start: time.Now(), box: task.NewMailbox(8), ready: make(chan struct{}, 1), tries: map[evidence.Host]bool{}, cfg: Config{Aims: []time.Duration{time.Second}}}
+	return &Layer{start: time.Now(), box: task.NewMailbox(8), siteBox: task.NewMailbox(8), news: map[string]agent.Target{}, ready: make(chan struct{}, 1), tries: map[evidence.Host]bool{}, cfg: Config{Aims: []time.Duration{time.Second}}}
 }
 
 // A table that the loop has not taken is replaced by a newer one, but no attempt that was
@@ -29,7 +30,7 @@
 	l.hand([]ballot.Standing{{Host: a, Until: time.Hour}})
 	<-l.Ready()
 	got := map[string]agent.Standing{}
-	for _, s := range l.Standings() {
+	for _, s := range l.Orders().Standings {
 		got[s.ID] = s
 	}
 	if x := got["a"]; !x.Try || x.Probe || x.Part != 0 || x.Left <= 0 || x.Left > time.Hour {
@@ -39,7 +40,7 @@
 		t.Errorf("b: %+v", x)
 	}
 	l.hand([]ballot.Standing{{Host: a, Until: time.Hour}})
-	if s := l.Standings(); len(s) != 1 || s[0].Try {
+	if s := l.Orders().Standings; len(s) != 1 || s[0].Try {
 		t.Errorf("handed over again: %+v", s)
 	}
 }
@@ -49,7 +50,7 @@
 	l := bare()
 	l.hand([]ballot.Standing{{Host: evidence.Host{ID: "a"}, Until: 5 * time.Second}})
 	l.start = l.start.Add(-10 * time.Second) // as long as the pause was
-	if s := l.Standings(); s[0].Left != 0 {
+	if s := l.Orders().Standings; s[0].Left != 0 {
 		t.Errorf("%v is left of what ended in the pause", s[0].Left)
 	}
 }
@@ -95,7 +96,7 @@
 // The tasks start and end with the layer, whatever their sockets do: here the address is no
 // one's, so that peers dies and is started again while the vote goes on alone.
 func TestItEndsInOrder(t *testing.T) {
-	cfg := Config{Vote: ballot.Defaults(), Peers: peers.Config{Fleet: "k", Name: "a", Bind: "192.0.2.1:7946", Seeds: []string{"192.0.2.1:7946"}}, Aims: []time.Duration{time.Second}}
+	cfg := Config{Vote: ballot.Defaults(), Site: decisions.Defaults(), Peers: peers.Config{Fleet: "k", Name: "a", Bind: "192.0.2.1:7946", Seeds: []string{"192.0.2.1:7946"}}, Aims: []time.Duration{time.Second}}
 	if _, err := Start(t.Context(), cfg); err == nil {
 		t.Error("started without an electorate")
 	}
--- /dev/null
+++ b/internal/layer/site.go
@@ -0,0 +1,234 @@
+package layer
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"chalkdoor.example/chalkdoor/internal/agent"
+	"chalkdoor.example/chalkdoor/internal/decisions"
+	"chalkdoor.example/chalkdoor/internal/peers"
+	"chalkdoor.example/chalkdoor/internal/task"
+)
+
+// siteSize bounds what waits for the site's task; most of it merges.
+const siteSize = 512
+
+// newsMost bounds what neighbours were told and the loop has not taken yet, by servers.
+const newsMost = decisions.MaxEntries
+
+// The states of a list's entries, as discovery names them.
+var states = map[string]decisions.State{"up": decisions.Up, "draining": decisions.Draining, "removed": decisions.Removed}
+
+// entries is a list as a set has it; what is not known to be up counts as draining, as for the
+// agent itself.
+func entries(list []agent.Target, age time.Duration) (out []decisions.Entry) {
+	for _, t := range list {
+		state, ok := states[t.State]
+		if !ok {
+			state = decisions.Draining
+		}
+		if t.ID != "" {
+			out = append(out, decisions.Entry{ID: t.ID, Incarnation: int64(t.StartedMs), State: state, Age: age})
+		}
+	}
+	return out
+}
+
+// ---- what the site's task is told ----
+
+type (
+	told struct {
+		list  []decisions.Entry
+		whole bool
+	}
+	heard  struct{ by decisions.Sense }
+	word   struct{ decisions.Word }
+	shared struct{ state }
+	ping   struct {
+		From string
+		Pong bool // it answers one
+	}
+)
+
+// state is what two peers exchange over a stream.
+type state struct {
+	Version int
+	From    string
+	Zone    string
+	Entries []decisions.Entry
+}
+
+// A change of the list must not be lost: where there is no room what is queued goes.
+func (told) WhenFull() task.Full { return task.DropOldest }
+
+// Another ping, or another sign of life, comes soon.
+func (heard) WhenFull() task.Full { return task.DropNewest }
+func (ping) WhenFull() task.Full  { return task.DropNewest }
+
+// The newest word of a member, and the newest set of a neighbour, are enough.
+func (word) WhenFull() task.Full   { return task.DropOldest }
+func (shared) WhenFull() task.Full { return task.DropOldest }
+
+func (m heard) Merge(q task.Message) (task.Message, bool) {
+	o, ok := q.(heard)
+	return m, ok && o == m
+}
+
+func (m ping) Merge(q task.Message) (task.Message, bool) {
+	o, ok := q.(ping)
+	return m, ok && o == m
+}
+
+func (m word) Merge(q task.Message) (task.Message, bool) {
+	o, ok := q.(word)
+	if !ok || o.From != m.From {
+		return m, false
+	}
+	if o.Boot == m.Boot && o.Seq > m.Seq {
+		return o, true
+	}
+	return m, true
+}
+
+func (m shared) Merge(q task.Message) (task.Message, bool) {
+	o, ok := q.(shared)
+	return m, ok && o.From == m.From
+}
+
+// check tells what is wrong with a ping of another process.
+func (p *ping) check() error {
+	if p.From == "" || len(p.From) > 128 {
+		return fmt.Errorf("ping: from: a name of %d bytes", len(p.From))
+	}
+	return nil
+}
+
+// ---- the task ----
+
+// site is the task that owns what the site was told and its part in finding out that the
+// uplink is lost. Another life of it begins with what the one before had, as the agent's own
+// list has not changed by its death.
+func (l *Layer) site(ctx context.Context) error {
+	cfg := l.cfg.Site
+	cfg.Dark = cfg.Dark || l.Kept().Dark
+	up, err := decisions.NewUplink(cfg, l.cfg.Peers.Boot)
+	if err != nil {
+		return err
+	}
+	set := decisions.NewSet()
+	if _, err := set.Merge(l.now(), l.Kept().Entries); err != nil {
+		return err
+	}
+	s := &siteTask{l: l, up: up, set: set}
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.siteBox.Ready():
+			for msg, ok := l.siteBox.Poll(); ok; msg, ok = l.siteBox.Poll() {
+				s.take(msg)
+			}
+			s.keep()
+		case <-tick.C:
+			s.carryOut(up.Tick(l.now(), set.Digest()))
+		}
+	}
+}
+
+type siteTask struct {
+	l     *Layer
+	up    *decisions.Uplink
+	set   *decisions.Set
+	zones []string // of the list, but the agent's own
+	phase decisions.Phase
+}
+
+func (s *siteTask) take(msg task.Message) {
+	l, now := s.l, s.l.now()
+	switch m := msg.(type) {
+	case listed:
+		s.zones = s.zones[:0]
+		for _, h := range m.hosts {
+			if h.Zone != l.cfg.Peers.Zone && !slices.Contains(s.zones, h.Zone) {
+				s.zones = append(s.zones, h.Zone)
+			}
+		}
+		slices.Sort(s.zones)
+		// The list that came with the start is told by nobody whose word can be dated.
+		if _, err := s.set.Merge(now, m.entries); err != nil {
+			slog.Warn("site: list not kept", "err", err)
+		}
+	case told:
+		s.set.Told(now, m.list, m.whole)
+	case heard:
+		s.up.Heard(now, m.by)
+	case word:
+		if err := s.up.Receive(now, m.Word); err != nil {
+			slog.Debug("site: word not believed", "err", err)
+		}
+	case members:
+		var outside []string
+		for _, p := range m.list {
+			if p.Zone != l.cfg.Peers.Zone {
+				outside = append(outside, p.Name)
+			}
+		}
+		s.up.Members(now, outside)
+	case ping:
+		if m.Pong {
+			s.up.Heard(now, decisions.Pong)
+		} else {
+			l.send(m.From, KindPing, ping{From: l.cfg.Peers.Name, Pong: true})
+		}
+	case shared:
+		if m.Zone != l.cfg.Peers.Zone {
+			return // another site's
+		}
+		news, err := s.set.Merge(now, m.Entries)
+		if err != nil {
+			slog.Warn("site: set not believed", "from", m.From, "err", err)
+		} else if s.up.Deaf() && len(news) > 0 {
+			l.tellNews(news)
+		}
+	}
+}
+
+// keep hands what the task has to its next life, to neighbours and to the disk.
+func (s *siteTask) keep() {
+	now := s.l.now()
+	s.l.keep(Kept{Dark: s.phase == decisions.Dark, Entries: s.set.Entries(now)}, now)
+}
+
+// carryOut does what the core asks.
+func (s *siteTask) carryOut(out *decisions.Out) {
+	l := s.l
+	for _, to := range out.To {
+		l.send(to, KindWord, out.Word)
+	}
+	for _, to := range out.Pings {
+		l.send(to, KindPing, ping{From: l.cfg.Peers.Name})
+	}
+	if out.Sync != "" {
+		l.peers.Mailbox().Put(peers.Sync{With: out.Sync})
+	}
+	if out.Phase != s.phase {
+		s.phase = out.Phase
+		slog.Info("site: "+out.Phase.String(), "zone", l.cfg.Peers.Zone, "agreed", out.Agreed, "members", len(l.cfg.Site.Site))
+		l.trace.write(Line{Kind: out.Phase.String(), Attempts: out.Agreed, LeftMs: max(out.Until-l.now(), 0).Milliseconds()}, l.now(), l.now())
+		s.keep()
+	}
+	if out.Changed || out.Ask || out.Phase != decisions.Light && len(out.To)+len(out.Pings) > 0 {
+		var zones []agent.ZoneStanding
+		if out.Phase != decisions.Light {
+			for _, z := range s.zones {
+				zones = append(zones, agent.ZoneStanding{Zone: z, Share: out.Share, Left: out.Until})
+			}
+		}
+		l.handZones(zones, out.Ask)
+	}
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -23,6 +23,7 @@
 	"github.com/BurntSushi/toml"
 
 	"chalkdoor.example/chalkdoor/internal/ballot"
+	"chalkdoor.example/chalkdoor/internal/decisions"
 )
 
 // maxFile bounds an operations file, in bytes.
@@ -37,6 +38,7 @@
 	State   State   `toml:"state" doc:"What the agent has learned, kept on disk for its next life, off by default."`
 	Fleet   Fleet   `toml:"fleet" doc:"Other agents to act together with, off by default."`
 	Vote    Vote    `toml:"vote" doc:"Ejection of report servers by vote of a site's agents; off without an electorate."`
+	Site    Site    `toml:"site" doc:"How a site, the agents of vote.electorate, finds out that its uplink is lost and goes on by itself."`
 }
 
 // Agent stands in for the environment; a variable that is set wins over it.
@@ -89,6 +91,19 @@
 	Trial      Duration `toml:"trial" restart:"yes" doc:"The least time between two trials of an ejected server by the site."`
 }
 
+// Site says when a site counts as cut off from all that lies outside.
+type Site struct {
+	Quiet Duration `toml:"quiet" restart:"yes" doc:"For how long nothing from outside (discovery, other sites' agents and servers) must have been heard."`
+	Beat  Duration `toml:"beat" restart:"yes" doc:"Time between two words to the other agents of the site, and between two pings to other sites."`
+	Step  Duration `toml:"step" restart:"yes" doc:"How long other zones get each part of their share when the uplink is back: 0.1, 0.3, then all."`
+	Hold  Duration `toml:"hold" restart:"yes" doc:"How long the site stays by itself after the last majority for it, where nothing from outside is heard."`
+}
+
+// Decisions is the same as its package has it, but for who the members are.
+func (s *Site) Decisions() decisions.Config {
+	return decisions.Config{Quiet: time.Duration(s.Quiet), Beat: time.Duration(s.Beat), Step: time.Duration(s.Step), Hold: time.Duration(s.Hold)}
+}
+
 // Duration is written as "1.5s" in a file.
 type Duration time.Duration
 
@@ -110,10 +125,11 @@
 
 // Default is the file that says nothing.
 func Default() File {
-	v := ballot.Defaults()
+	v, s := ballot.Defaults(), decisions.Defaults()
 	return File{Log: Log{Format: "text", Level: "info"}, State: State{Every: Duration(time.Second)},
 		Fleet: Fleet{Role: "agent", Seeds: []string{}}, Vote: Vote{Electorate: []string{}, Roll: 1, Cap: v.Cap, Lease: Duration(v.Lease), Longest: Duration(v.Longest),
-			Remember: Duration(v.Remember), Age: Duration(v.Age), Step: Duration(v.Step), Trial: Duration(v.Trial)}}
+			Remember: Duration(v.Remember), Age: Duration(v.Age), Step: Duration(v.Step), Trial: Duration(v.Trial)},
+		Site: Site{Quiet: Duration(s.Quiet), Beat: Duration(s.Beat), Step: Duration(s.Step), Hold: Duration(s.Hold)}}
 }
 
 // Ballot is the vote of one agent as its package has it.
@@ -252,6 +268,12 @@
 			wrong = append(wrong, &Error{Key: "vote." + key, Text: text})
 		}
 	}
+	site := f.Site.Decisions()
+	site.Site = []string{site.Self}
+	if err := site.Validate(); err != nil {
+		key, text, _ := strings.Cut(err.Error(), ": ")
+		wrong = append(wrong, &Error{Key: "site." + key, Text: text})
+	}
 	oneOf("log.format", f.Log.Format, Formats)
 	oneOf("log.level", f.Log.Level, Levels)
 	return wrong
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -31,9 +31,11 @@
 
 const (
 	// Version is that of what peers tell each other. Another is turned away.
-	Version = 1
+	Version = 2
 	// MaxMessage bounds a message, in bytes: it is to fit one datagram.
 	MaxMessage = 1300
+	// MaxState bounds what two peers hand each other over a stream, in bytes.
+	MaxState = 512 << 10
 	// MaxMembers bounds the fleet.
 	MaxMembers = 4096
 	// takenPerS and takenBurst bound the messages that are taken; over it they are dropped.
@@ -79,27 +81,47 @@
 	Boot    uint64
 }
 
+// Kind tells which part of the layer a message is for.
+type Kind byte
+
 // Send is a message for a peer. Where the mailbox is full the oldest goes: each says all
-// that its sender has to say.
+// that its sender has to say of its kind.
 type Send struct {
 	To   string
+	Kind Kind
 	Body []byte
 }
 
+// Sync exchanges states with a peer over a stream, as at a join.
+type Sync struct{ With string }
+
 // WhenFull implements task.Message.
 func (Send) WhenFull() task.Full { return task.DropOldest }
 
-// Merge implements task.Merger: the newest to a peer is enough.
+// WhenFull implements task.Message: it is asked for again.
+func (Sync) WhenFull() task.Full { return task.DropNewest }
+
+// Merge implements task.Merger: the newest of a kind to a peer is enough.
 func (s Send) Merge(queued task.Message) (task.Message, bool) {
 	q, ok := queued.(Send)
-	return s, ok && q.To == s.To
+	return s, ok && q.To == s.To && q.Kind == s.Kind
+}
+
+// Merge implements task.Merger.
+func (s Sync) Merge(queued task.Message) (task.Message, bool) {
+	q, ok := queued.(Sync)
+	return s, ok && q == s
 }
 
 // Sink takes what peers bring; its methods must not block, and are called from the library's
 // goroutines.
 type Sink interface {
-	// Got is a message, from whom it does not say.
-	Got(body []byte)
+	// Got is a message; from whom it does not say.
+	Got(kind Kind, body []byte)
+	// State is handed to a peer over a stream, and Merge is what a peer hands over; both in the
+	// form of Encode.
+	State() []byte
+	Merge(state []byte)
 	// Members is who is there now, this agent included, by name.
 	Members([]Peer)
 }
@@ -107,7 +129,7 @@
 // mailboxSize is for one letter to each peer of a site.
 const mailboxSize = 512
 
-// Peers is a task. Its mailbox takes Send.
+// Peers is a task. Its mailbox takes Send and Sync.
 type Peers struct {
 	cfg   Config
 	sink  Sink
@@ -126,7 +148,7 @@
 		nodes: map[string]*memberlist.Node{}, peers: map[string]Peer{}, logged: map[string]time.Time{}}
 }
 
-// Mailbox takes Send.
+// Mailbox takes Send and Sync.
 func (p *Peers) Mailbox() *task.Mailbox { return p.box }
 
 // Run joins the fleet and carries messages until ctx is done; then it leaves in order.
@@ -149,9 +171,10 @@
 		}
 	}()
 	slog.Info("peers: listening", "fleet", p.cfg.Fleet, "addr", p.cfg.Bind)
-	joined := make(chan struct{}, 1)
-	var joining sync.WaitGroup
-	defer joining.Wait()
+	// A call to a peer that is cut off takes seconds: none is on this goroutine, and each is on
+	// one of its own, as those that can be reached must not wait for it.
+	calls := newCalls(m)
+	defer calls.wait()
 	join := time.NewTimer(0)
 	defer join.Stop()
 	for {
@@ -160,43 +183,69 @@
 			return nil
 		case <-p.box.Ready():
 			for msg, ok := p.box.Poll(); ok; msg, ok = p.box.Poll() {
-				p.send(m, msg.(Send))
+				switch msg := msg.(type) {
+				case Send:
+					p.send(m, msg)
+				case Sync:
+					if n := p.node(msg.With); n != nil {
+						calls.join(n.Address())
+					}
+				}
 			}
 		case <-join.C:
-			missing := p.missing(m)
-			if len(missing) == 0 {
-				join.Reset(joinEvery/2 + rand.N(joinEvery))
-				continue
+			for _, seed := range p.missing(m) {
+				calls.join(seed)
 			}
-			// A call to a peer that is cut off takes seconds: not on this goroutine.
-			joining.Add(1)
-			go func() {
-				defer joining.Done()
-				_, _ = m.Join(missing) // tried again until it is there, and logged by the library
-				joined <- struct{}{}
-			}()
-		case <-joined:
 			join.Reset(joinEvery/2 + rand.N(joinEvery))
 		}
 	}
 }
 
-// missing is one seed that is not there. A split heals by it from either side.
-func (p *Peers) missing(m *memberlist.Memberlist) []string {
+// calls are the joins under way, one to an address at a time and at most maxCalls.
+type calls struct {
+	m     *memberlist.Memberlist
+	all   sync.WaitGroup
+	mu    sync.Mutex
+	under map[string]bool
+}
+
+const maxCalls = 8
+
+func newCalls(m *memberlist.Memberlist) *calls { return &calls{m: m, under: map[string]bool{}} }
+
+func (c *calls) wait() { c.all.Wait() }
+
+func (c *calls) join(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.under[addr] || len(c.under) >= maxCalls {
+		return // it is asked for again
+	}
+	c.under[addr] = true
+	c.all.Add(1)
+	go func() {
+		defer c.all.Done()
+		_, _ = c.m.Join([]string{addr}) // tried again while it is missing, and logged by the library
+		c.mu.Lock()
+		delete(c.under, addr)
+		c.mu.Unlock()
+	}()
+}
+
+// missing are the seeds that are not there, in no order. A split heals by them from either
+// side.
+func (p *Peers) missing(m *memberlist.Memberlist) (out []string) {
 	there := map[string]bool{p.advertise(): true}
 	for _, n := range m.Members() {
 		there[n.Address()] = true
 	}
-	var out []string
 	for _, s := range p.cfg.Seeds {
 		if !there[s] {
 			out = append(out, s)
 		}
 	}
-	if len(out) == 0 {
-		return nil
-	}
-	return out[rand.N(len(out)):][:1]
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
 }
 
 func (p *Peers) advertise() string {
@@ -207,13 +256,18 @@
 }
 
 func (p *Peers) send(m *memberlist.Memberlist, s Send) {
-	p.mu.Lock()
-	node := p.nodes[s.To]
-	p.mu.Unlock()
-	if node == nil || len(s.Body) > MaxMessage {
+	node := p.node(s.To)
+	if node == nil || len(s.Body) >= MaxMessage {
 		return // it is not there; or nothing of the layer is so large
 	}
-	_ = m.SendBestEffort(node, s.Body) // as best it can: whoever needs it says it again
+	_ = m.SendBestEffort(node, append([]byte{byte(s.Kind)}, s.Body...)) // as best it can: whoever needs it says it again
+}
+
+// node is a peer as the library knows it; nil if it is not there.
+func (p *Peers) node(name string) *memberlist.Node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.nodes[name]
 }
 
 func (p *Peers) config() (*memberlist.Config, error) {
@@ -289,8 +343,8 @@
 
 // Decode reads what Encode wrote; whatever else it is given is an error.
 func Decode(body []byte, v any) error {
-	if len(body) > MaxMessage {
-		return fmt.Errorf("peers: a message of %d bytes, at most %d are taken", len(body), MaxMessage)
+	if len(body) > MaxState {
+		return fmt.Errorf("peers: a message of %d bytes, at most %d are taken", len(body), MaxState)
 	}
 	if err := codec.NewDecoderBytes(body, handle).Decode(v); err != nil {
 		return fmt.Errorf("peers: %w", err)
@@ -309,15 +363,30 @@
 }
 
 func (d *delegate) NotifyMsg(body []byte) {
-	if len(body) == 0 || len(body) > MaxMessage || !d.p.taken.Allow() {
+	if len(body) < 2 || len(body) > MaxMessage || !d.p.taken.Allow() {
 		return
 	}
-	d.p.sink.Got(slices.Clone(body)) // the library uses its own again
+	d.p.sink.Got(Kind(body[0]), slices.Clone(body[1:])) // the library uses its own again
 }
 
 func (*delegate) GetBroadcasts(int, int) [][]byte { return nil }
-func (*delegate) LocalState(bool) []byte          { return nil }
-func (*delegate) MergeRemoteState([]byte, bool)   {}
+
+// LocalState is what a peer gets over a stream; more than it would take is not sent.
+func (d *delegate) LocalState(bool) []byte {
+	state := d.p.sink.State()
+	if len(state) > MaxState {
+		slog.Error("peers: state not handed over", "bytes", len(state), "most", MaxState)
+		return nil
+	}
+	return state
+}
+
+// MergeRemoteState takes a peer's.
+func (d *delegate) MergeRemoteState(state []byte, _ bool) {
+	if len(state) > 0 && len(state) <= MaxState {
+		d.p.sink.Merge(slices.Clone(state))
+	}
+}
 
 // NotifyAlive turns away who is not of this fleet.
 func (d *delegate) NotifyAlive(n *memberlist.Node) error {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -29,7 +29,9 @@
 
 func newEar() *ear { return &ear{got: make(chan string, 1000), changed: make(chan struct{}, 1)} }
 
-func (e *ear) Got(body []byte) { e.got <- string(body) }
+func (e *ear) Got(kind Kind, body []byte) { e.got <- string(kind) + string(body) }
+func (e *ear) State() []byte              { return []byte("state") }
+func (e *ear) Merge(state []byte)         { e.got <- "merged " + string(state) }
 
 func (e *ear) Members(list []Peer) {
 	e.mu.Lock()
@@ -101,15 +103,28 @@
 	}
 	// Datagrams may be lost, also on this machine.
 	for got := false; !got; {
-		b.Mailbox().Put(Send{To: "c", Body: []byte("hello")})
+		b.Mailbox().Put(Send{To: "c", Kind: 'x', Body: []byte("hello")})
 		select {
 		case text := <-ec.got:
-			if got = text == "hello"; !got {
+			if got = text == "xhello"; !got && text != "merged state" {
 				t.Fatalf("got %q", text)
 			}
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
+	// States are exchanged whenever one asks, both ways.
+	for len(ea.got) > 0 {
+		<-ea.got
+	}
+	b.Mailbox().Put(Sync{With: "a"})
+	select {
+	case text := <-ea.got:
+		if text != "merged state" {
+			t.Errorf("got %q", text)
+		}
+	case <-time.After(patience):
+		t.Error("no state was exchanged")
+	}
 	stop()
 	ea.sees(t, 2)
 	ec.sees(t, 2)
@@ -160,7 +175,7 @@
 	if err := Decode(body, &f); err != nil || f != (form{1, 2}) {
 		t.Errorf("%+v, %v", f, err)
 	}
-	for _, bad := range [][]byte{nil, {0xc1}, []byte("x"), body[:len(body)-1], make([]byte, MaxMessage+1)} {
+	for _, bad := range [][]byte{nil, {0xc1}, []byte("x"), body[:len(body)-1], make([]byte, MaxState+1)} {
 		if err := Decode(bad, &form{}); err == nil {
 			t.Errorf("%d bytes were taken for a message", len(bad))
 		}
