Play the loss of an uplink on real processes: uplink-loss, uplink-dark, a referee of sites

Change: the fault uplink (discovery, other sites' agents and servers, as one), drain-servers, the list as it was last known for agents that start while discovery is silent, seeds of each site, dark_ms, light_ms and first_zone, and the referee's check that no site counts its uplink as lost that has it.

TestASiteLosesItsUplink -race -count=3 passes.

--- a/internal/lab/emu/discovery.go
+++ b/internal/lab/emu/discovery.go
@@ -57,6 +57,7 @@
 	entries map[string]entry
 	changed chan struct{} // closed at each change
 	silent  bool
+	before  List // while it is silent: the list as the agent's platform last had it
 	frozen  bool
 	late    []Target // what has come while it stood still
 	busy    time.Duration
@@ -96,10 +97,14 @@
 	v.owner.Wait()
 }
 
-// Known is the whole list as of now, as an agent is given it at its start.
+// Known is the whole list as an agent is given it at its start: as of now, or as of when the
+// view fell silent.
 func (v *View) Known() List {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.silent {
+		return v.before
+	}
 	return v.list(0)
 }
 
@@ -144,6 +149,9 @@
 func (v *View) Silence(on bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if on && !v.silent {
+		v.before = v.list(0)
+	}
 	v.silent = on
 	close(v.changed)
 	v.changed = make(chan struct{})
--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -133,6 +133,54 @@
 	"cut-answers": func(_ context.Context, w *world, f *Fault) (func() error, error) {
 		return w.cut(func(a *agent, s *server) (bool, bool) { return false, s.Zone() == f.Zone && a.zone != f.Zone })
 	},
+	// A site's uplink is lost: its agents reach neither discovery nor other sites' agents and
+	// servers, and the other way round. Within the site all is well.
+	"uplink": func(_ context.Context, w *world, f *Fault) (func() error, error) {
+		loss := &referee.Loss{Zone: f.Zone, From: w.log.Now(), To: -1}
+		w.losses = append(w.losses, loss)
+		inside := map[string]bool{}
+		for _, name := range w.electorate(f.Zone) {
+			inside[name] = true
+		}
+		reached, err := w.cutPeers(func(from, to string) bool { return inside[from] != inside[to] })
+		if err != nil {
+			return nil, err
+		}
+		silence := func(on bool) {
+			for _, a := range w.agents {
+				if inside[a.name] && a.view != nil {
+					a.view.Silence(on)
+				}
+			}
+		}
+		silence(true)
+		heal, err := w.cut(func(a *agent, s *server) (bool, bool) {
+			across := (a.zone == f.Zone) != (s.Zone() == f.Zone)
+			return across, across
+		})
+		return func() error {
+			loss.To = w.log.Now()
+			silence(false)
+			if reached != nil {
+				if err := reached(); err != nil {
+					return err
+				}
+			}
+			return heal()
+		}, err
+	},
+	// Servers drain, as discovery tells late, and are gone when it ends.
+	"drain-servers": func(_ context.Context, w *world, f *Fault) (func() error, error) {
+		hit := w.someServers(f)
+		for _, s := range hit {
+			w.enter(s, emu.Draining)
+		}
+		w.tell(listLate, hit...)
+		return func() error {
+			w.down(hit)
+			return nil
+		}, nil
+	},
 	"slow-servers": func(_ context.Context, w *world, f *Fault) (func() error, error) {
 		return w.fault(f, emu.Faults{Slow: f.Times})
 	},
--- a/internal/lab/experiment/figures.go
+++ b/internal/lab/experiment/figures.go
@@ -33,6 +33,8 @@
 		}
 		return worst
 	},
+	// first_zone is the part of the worth served to the clients of the first zone.
+	"first_zone":   func(s *sums) float64 { return s.zones[0].earned / max(s.zones[0].worth, 1e-9) },
 	"worst_second": func(s *sums) float64 { return s.worst },
 	// lost_worth is the worth not served, in requests of the mean worth.
 	"lost_worth": func(s *sums) float64 { return (s.worth - s.earned) / max(s.worth/float64(max(s.asked, 1)), 1e-9) },
@@ -42,9 +44,10 @@
 // attempts that failed, ejections those that any agent saw,
 // wrong_ejections those of them that befell servers which liars want out and no fault befalls, eject_ms the mean time from a fault
 // of servers to their ejection by all agents of a zone, peer_bytes_s what an agent was sent by
-// others.
+// others, dark_ms and light_ms the mean times from the loss of an uplink, and from its return,
+// to when an agent of the site knows it.
 var whole = []string{"connections", "probes", "list_calls", "warm_keys", "pressed", "agent_cpu_ms",
-	"failed_attempts", "ejections", "wrong_ejections", "eject_ms", "peer_bytes_s"}
+	"failed_attempts", "ejections", "wrong_ejections", "eject_ms", "peer_bytes_s", "dark_ms", "light_ms"}
 
 // FigureNames are the figures that claims may be made of.
 func FigureNames() (names []string) {
--- a/internal/lab/experiment/layer.go
+++ b/internal/lab/experiment/layer.go
@@ -171,10 +171,7 @@
 	}
 	if w.mesh != nil {
 		v := w.fleet.vote()
-		var first []string
-		for _, o := range w.agents[:min(seeds, len(w.agents))] {
-			first = append(first, o.peers)
-		}
+		first := w.seedsOf(a)
 		table("fleet", map[string]any{"name": fleetName, "bind": net.JoinHostPort(ip, strconv.Itoa(peersPort)), "advertise": a.peers,
 			"seeds": first, "trace": w.tracePath(a)})
 		table("vote", map[string]any{"electorate": w.electorate(a.zone), "cap": v.Cap, "lease": time.Duration(v.Lease).String(),
@@ -191,6 +188,21 @@
 	return []string{"agent", "--ops", path}, nil
 }
 
+// seedsOf are the agents that an agent finds others through: the first of the fleet, and the
+// first of its site, which it must find while its uplink is lost.
+func (w *world) seedsOf(a *agent) (addrs []string) {
+	left := seeds
+	for i, o := range w.agents {
+		if own := o.zone == a.zone && left > 0; own || i < seeds {
+			addrs = append(addrs, o.peers)
+			if own {
+				left--
+			}
+		}
+	}
+	return addrs
+}
+
 func (w *world) tracePath(a *agent) string { return filepath.Join(w.dir, a.name+".trace") }
 
 // scrape adds up what the agents count of themselves.
@@ -276,6 +288,18 @@
 			Roll: l.Roll, Bad: l.Bad, Granters: l.Granters, Left: time.Duration(l.LeftMs) * time.Millisecond})
 	}
 	r.Violations = append(r.Violations, referee.CheckVotes(steps, e)...)
+	broken, site := referee.CheckSites(steps, e.Zone, w.losses)
+	r.Violations = append(r.Violations, broken...)
+	for name, d := range site {
+		fig[name] = float64(d) / float64(time.Millisecond)
+	}
+	dark := map[string]bool{}
+	for _, s := range steps {
+		if s.Kind == "dark" {
+			dark[fmt.Sprint(s.Agent, s.Boot)] = true
+		}
+	}
+	fig["dark agents"] = float64(len(dark))
 	whole, took := 0, 0.0
 	seen := map[string]map[string]bool{} // agents that saw an ejection, by zone and host
 	for _, s := range steps {
--- a/internal/lab/experiment/layer_test.go
+++ b/internal/lab/experiment/layer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 
 	"chalkdoor.example/chalkdoor/internal/lab/report"
@@ -83,3 +84,43 @@
 		t.Errorf("%v ejections without a majority", got)
 	}
 }
+
+// A site that loses its uplink finds out, and all its agents are killed meanwhile: they start
+// again by what is on their disks, know it at once, and come back when it does. The sites that
+// have their uplink never count it as lost, and no rule is broken.
+func TestASiteLosesItsUplink(t *testing.T) {
+	text := strings.Replace(together, `agents = 3
+servers = 4
+zones = ["a"]
+layer = true`, `agents = 6
+servers = 8
+zones = ["a", "b"]
+state = true
+layer = true`, 1)
+	r := playedTogether(t, strings.Replace(text, `for = "9s"`, `for = "14s"`, 1)+`
+[[fault]]
+kind = "uplink"
+at = "2s"
+for = "8s"
+zone = "a"
+[[fault]]
+kind = "drain-servers"
+at = "5s"
+for = "6s"
+zone = "a"
+part = 0.25
+[[fault]]
+kind = "kill-agents"
+at = "6s"
+for = "1s"
+zone = "a"
+part = 1.0
+`)
+	f := r.Plays[0].Figures
+	if f["dark_ms"] <= 0 || f["light_ms"] <= 0 {
+		t.Errorf("known after %v ms, over after %v ms", f["dark_ms"], f["light_ms"])
+	}
+	if f["dark agents"] != 6 { // three, in two lives each
+		t.Errorf("%v lives of agents knew it, want 6", f["dark agents"])
+	}
+}
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -108,6 +108,7 @@
 	spared   []string                 // servers that liars want out, and no fault befalls
 	scraped  bool                     // the agents serve their metrics
 	fell     map[string]time.Duration // by server: when a fault first befell it
+	losses   []*referee.Loss          // of uplinks
 	start    time.Duration            // of the load
 
 	todo chan func() error // what the run's goroutine does next
