Do not take a paused process's sleep for silence of its uplink

Checked: their last sign from outside was as old as the pause, and the first tick came before what waited in the sockets was read. At fault: quiet in uplink.go, which measured by the clock what is heard only while somebody listens.

Change: a gap between two ticks that is longer than a beat is not counted as silence.

--- a/internal/decisions/uplink.go
+++ b/internal/decisions/uplink.go
@@ -136,7 +136,6 @@
 	cfg      Config
 	rng      *rand.Rand
 	boot     uint64
-	born     time.Duration
 	now      time.Duration
 	started  bool
 	heard    time.Duration // when anything outside was last heard
@@ -146,6 +145,7 @@
 	outside  []string      // agents of other sites that are there
 	words    map[string]word
 	seq      uint64
+	tickAt   time.Duration
 	beatAt   time.Duration
 	said     bool // of the last word: that nothing is heard
 	askAt    time.Duration
@@ -172,7 +172,7 @@
 func (u *Uplink) begin(now time.Duration) {
 	if !u.started {
 		// The first beat is at once, the first call to discovery a part of Quiet later.
-		u.started, u.born, u.heard, u.beatAt, u.askAt = true, now, now, now-u.cfg.Beat, now
+		u.started, u.heard, u.tickAt, u.beatAt, u.askAt = true, now, now, now-u.cfg.Beat, now
 	}
 	u.now = max(u.now, now)
 }
@@ -283,6 +283,11 @@
 // to be called a few times in each beat.
 func (u *Uplink) Tick(now time.Duration, digest uint64) *Out {
 	u.begin(now)
+	// Who did not listen has heard no silence: what a pause of the process was long is not counted.
+	if gap := u.now - u.tickAt; gap > u.cfg.Beat {
+		u.heard = min(u.heard+gap, u.now)
+	}
+	u.tickAt = u.now
 	out := &Out{Agreed: u.agreed()}
 	was, share := u.phase, u.share
 	u.move(out.Agreed)
--- a/internal/decisions/uplink_test.go
+++ b/internal/decisions/uplink_test.go
@@ -212,6 +212,23 @@
 	s.all(Light)
 }
 
+// Members that were paused, all of a site or one of it, do not take their sleep for silence;
+// an uplink that was lost meanwhile is found out all the same.
+func TestASleeperHeardNoSilence(t *testing.T) {
+	for _, n := range []int{1, 3} {
+		s := newSite(t, n, nil)
+		s.run(5 * time.Second)
+		for _, lost := range []bool{false, true} {
+			s.now += 10 * time.Second // nobody ticks
+			s.uplink = func(int) bool { return !lost }
+			s.run(50 * time.Millisecond)
+			s.all(Light)
+			s.run(4 * time.Second)
+			s.all(map[bool]Phase{false: Light, true: Dark}[lost])
+		}
+	}
+}
+
 // What a member holds lapses by itself. Those that are left of a dark site stay dark while they
 // hear nothing, for Hold, and come back by what they hear themselves.
 func TestWhatIsLeftOfADarkSite(t *testing.T) {
