--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -7,6 +7,7 @@
 package evidence
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -230,6 +231,31 @@
 	return t.weight / all, t.zone
 }
 
+// Zone is what was met of a zone's hosts within the window.
+type Zone struct {
+	Name     string
+	Weight   float64 // of its hosts, as listed
+	Met, Bad int     // hosts met, and of them those whose record speaks against them
+}
+
+// Zones are all that have a host listed, by name.
+func (l *Log) Zones(now time.Duration) (out []Zone) {
+	for _, t := range l.hosts {
+		i, ok := slices.BinarySearchFunc(out, t.zone, func(z Zone, name string) int { return cmp.Compare(z.Name, name) })
+		if !ok {
+			out = slices.Insert(out, i, Zone{Name: t.zone})
+		}
+		out[i].Weight += t.weight
+		if r := t.record(now, l.window); r.Attempts > 0 {
+			out[i].Met++
+			if r.Against(now, l.window) {
+				out[i].Bad++
+			}
+		}
+	}
+	return out
+}
+
 // BadPart is the part of the hosts met within the window whose record speaks against them,
 // by count, and how many were met. An observer to whom much looks bad is likely at fault
 // itself.
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -1,6 +1,7 @@
 package evidence
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -155,3 +156,23 @@
 		t.Errorf("%v of %d met", part, met)
 	}
 }
+
+// A zone's sight counts its hosts, those met in the window, and those whose last was bad.
+func TestZones(t *testing.T) {
+	l := New(10 * time.Second)
+	var hosts []Listed
+	for i, zone := range []string{"b", "a", "b", "b"} {
+		hosts = append(hosts, Listed{Host{ID: string(rune('p' + i))}, zone, float64(i + 1)})
+	}
+	l.Listed(hosts)
+	l.Saw(Sight{Host: hosts[0].Host, Kind: Failed, Sent: time.Second, At: time.Second})
+	l.Saw(Sight{Host: hosts[2].Host, Kind: Good, Sent: time.Second, At: time.Second})
+	want := []Zone{{"a", 2, 0, 0}, {"b", 8, 2, 1}}
+	if got := l.Zones(2 * time.Second); !slices.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+	want[1].Met, want[1].Bad = 0, 0
+	if got := l.Zones(time.Minute); !slices.Equal(got, want) {
+		t.Errorf("a minute later %v, want %v", got, want)
+	}
+}
