Tell the council what is seen of zones, and act on its word while it holds

Change: agents report to all voters where a view changes and every 4 s; a decision goes to eight peers at once and to one at each beat; a zone's share enters the loop's orders beside the uplink's, with the part that is in reach. [council] in the operations file, refused by key.

--- a/cmd/chalkdoor/serve.go
+++ b/cmd/chalkdoor/serve.go
@@ -115,6 +115,11 @@
 	}
 	c := layer.Config{Vote: file.Vote.Ballot(cfg.Name), Site: file.Site.Decisions(), Recall: recall, Trace: file.Fleet.Trace, Peers: peers.Config{Fleet: file.Fleet.Name, Name: cfg.Name, Zone: zone,
 		Region: file.Fleet.Region, Role: file.Fleet.Role, Boot: rand.Uint64(), Bind: file.Fleet.Bind, Advertise: file.Fleet.Advertise, Seeds: file.Fleet.Seeds}}
+	var err error
+	if c.Council, err = file.Council.Config(cfg.Name); err != nil {
+		return nil, fmt.Errorf("operations file: council.%w", err)
+	}
+	c.Bound = time.Duration(file.Council.Bound)
 	for _, class := range cfg.Settings.Classes {
 		c.Aims = append(c.Aims, time.Duration(class.AimMs*float64(time.Millisecond)))
 	}
--- a/internal/agent/layer_test.go
+++ b/internal/agent/layer_test.go
@@ -111,7 +111,7 @@
 	if near.count() != 10 || far.count() != 0 {
 		t.Errorf("%d requests in the zone and %d out of it, want 10 and 0", near.count(), far.count())
 	}
-	layer.order(a, Orders{Zones: []ZoneStanding{{Zone: "west"}, {Zone: "east", Left: time.Minute}}})
+	layer.order(a, Orders{Zones: []ZoneStanding{{Zone: "west"}, {Zone: "east", Reach: 1, Left: time.Minute}}})
 	status, _, _ := a.ask(newRequest(a.addr, "read", "x"))
 	wantStatus(t, status, 200)
 	if far.count() != 1 {
--- a/internal/agent/observe.go
+++ b/internal/agent/observe.go
@@ -88,6 +88,7 @@
 type ZoneStanding struct {
 	Zone  string
 	Share float64       // part of the shares of its servers that is used; 0: nothing is sent there
+	Reach float64       // part of it that is in reach: what is not takes its demand with it
 	Left  time.Duration // that it holds
 }
 
@@ -178,7 +179,7 @@
 			continue
 		}
 		z := o.Zones[i]
-		within -= t.Weight * (1 - z.Share)
+		within -= t.Weight * (1 - z.Reach)
 		j, named := at[id]
 		if !named {
 			j = len(out)
--- a/internal/layer/layer.go
+++ b/internal/layer/layer.go
@@ -20,10 +20,12 @@
 
 	"chalkdoor.example/chalkdoor/internal/agent"
 	"chalkdoor.example/chalkdoor/internal/ballot"
+	"chalkdoor.example/chalkdoor/internal/council"
 	"chalkdoor.example/chalkdoor/internal/decisions"
 	"chalkdoor.example/chalkdoor/internal/evidence"
 	"chalkdoor.example/chalkdoor/internal/peers"
 	"chalkdoor.example/chalkdoor/internal/task"
+	"chalkdoor.example/chalkdoor/internal/zones"
 	"chalkdoor.example/chalkdoor/policy"
 )
 
@@ -41,6 +43,9 @@
 	Vote  ballot.Config // Self and Boot are those of Peers
 	// Site is how the site finds out that its uplink is lost. Its members are those of the roll.
 	Site decisions.Config
+	// Council is nil where there is none. Bound is how old its word may be.
+	Council *council.Config
+	Bound   time.Duration
 	// Recall is what an earlier life's Kept had, ages counted on.
 	Recall Kept
 	Trace  string // file that the steps of the vote and of the site are added to; empty: none
@@ -55,6 +60,7 @@
 	peers   *peers.Peers
 	box     *task.Mailbox // of the vote
 	siteBox *task.Mailbox
+	council *council.Council // nil: this agent is no voter
 	trace   *tracer
 	start   time.Time
 
@@ -95,10 +101,22 @@
 		}
 	}
 	l.peers = peers.New(cfg.Peers, sink{l})
+	if c := cfg.Council; c != nil {
+		c.Self = cfg.Peers.Name
+		if err := c.Validate(); err != nil {
+			return nil, fmt.Errorf("layer: council: %w", err)
+		}
+		if c.Votes() {
+			l.council = council.New(*c, func(d council.Decision) { l.siteBox.Put(agreed{d}) })
+		}
+	}
 	l.sup = task.NewSupervisor(ctx, nil)
 	l.sup.Go("peers", l.peers.Run)
 	l.sup.Go("vote", l.vote)
 	l.sup.Go("site", l.site)
+	if l.council != nil {
+		l.sup.Go("council", l.council.Run)
+	}
 	return l, nil
 }
 
@@ -214,6 +232,8 @@
 	KindLetter peers.Kind = 'l'
 	KindWord   peers.Kind = 'w'
 	KindPing   peers.Kind = 'p'
+	KindReport peers.Kind = 'r'
+	KindParts  peers.Kind = 'd'
 )
 
 func (s sink) Got(kind peers.Kind, body []byte) {
@@ -234,6 +254,16 @@
 		if err = decode(body, &m, m.check); err == nil {
 			s.l.siteBox.Put(m)
 		}
+	case KindReport:
+		var m zones.Report
+		if err = decode(body, &m, m.Check); err == nil && s.l.council != nil {
+			s.l.council.Mailbox().Put(council.Report{Report: m})
+		}
+	case KindParts:
+		var m decisions.Decided
+		if err = decode(body, &m, m.Check); err == nil {
+			s.l.siteBox.Put(parts{m})
+		}
 	default:
 		err = fmt.Errorf("layer: message: unknown kind %q", kind)
 	}
@@ -303,6 +333,7 @@
 	}
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	var seen reporter
 	for {
 		select {
 		case <-ctx.Done():
@@ -324,6 +355,42 @@
 			}
 		case <-tick.C:
 			l.carryOut(core.Tick(l.now()))
+			if l.cfg.Council != nil {
+				l.report(&seen, log.Zones(l.now()))
+			}
+		}
+	}
+}
+
+// reportEvery is how often the council is told what has not changed.
+const reportEvery = 4 * time.Second
+
+// reporter is what the council was last told.
+type reporter struct {
+	seq   uint64
+	at    time.Duration
+	views []zones.View
+}
+
+// report tells all voters what was seen of each zone: at once where a view has changed.
+func (l *Layer) report(was *reporter, seen []evidence.Zone) {
+	r := zones.Report{Version: zones.Version, Agent: l.cfg.Peers.Name, Site: l.cfg.Peers.Zone, Boot: l.cfg.Peers.Boot}
+	var views []zones.View
+	for _, z := range seen[:min(len(seen), zones.MaxZones)] {
+		s := zones.Sight{Zone: z.Name, Weight: z.Weight, Met: z.Met, Bad: z.Bad}
+		r.Zones, views = append(r.Zones, s), append(views, s.View())
+	}
+	now := l.now()
+	if slices.Equal(views, was.views) && now-was.at < reportEvery && was.seq > 0 {
+		return
+	}
+	was.seq, was.at, was.views = was.seq+1, now, views
+	r.Seq = was.seq
+	for _, v := range l.cfg.Council.Voters {
+		if v.Name != l.cfg.Peers.Name {
+			l.send(v.Name, KindReport, r)
+		} else if l.council != nil {
+			l.council.Mailbox().Put(council.Report{Report: r})
 		}
 	}
 }
--- a/internal/layer/site.go
+++ b/internal/layer/site.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/agent"
+	"chalkdoor.example/chalkdoor/internal/council"
 	"chalkdoor.example/chalkdoor/internal/decisions"
 	"chalkdoor.example/chalkdoor/internal/peers"
 	"chalkdoor.example/chalkdoor/internal/task"
@@ -47,6 +49,8 @@
 	heard  struct{ by decisions.Sense }
 	word   struct{ decisions.Word }
 	shared struct{ state }
+	agreed struct{ council.Decision }  // by the council, of which this agent is
+	parts  struct{ decisions.Decided } // the same, from a peer
 	ping   struct {
 		From string
 		Pong bool // it answers one
@@ -72,6 +76,10 @@
 func (word) WhenFull() task.Full   { return task.DropOldest }
 func (shared) WhenFull() task.Full { return task.DropOldest }
 
+// The newest decision is enough; each comes again.
+func (agreed) WhenFull() task.Full { return task.DropOldest }
+func (parts) WhenFull() task.Full  { return task.DropNewest }
+
 func (m heard) Merge(q task.Message) (task.Message, bool) {
 	o, ok := q.(heard)
 	return m, ok && o == m
@@ -122,7 +130,7 @@
 	if _, err := set.Merge(l.now(), l.Kept().Entries); err != nil {
 		return err
 	}
-	s := &siteTask{l: l, up: up, set: set}
+	s := &siteTask{l: l, up: up, set: set, parts: decisions.NewParts(l.cfg.Bound), rng: rand.New(rand.NewPCG(l.cfg.Peers.Boot, 5))}
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
@@ -144,8 +152,14 @@
 	l     *Layer
 	up    *decisions.Uplink
 	set   *decisions.Set
-	zones []string // of the list, but the agent's own
+	zones []string // of the list
 	phase decisions.Phase
+	share float64 // of what lies outside
+	until time.Duration
+	parts *decisions.Parts
+	fleet []string // agents that are there, but this one
+	rng   *rand.Rand
+	stood bool // some zone had less than all of its share
 }
 
 func (s *siteTask) take(msg task.Message) {
@@ -154,7 +168,7 @@
 	case listed:
 		s.zones = s.zones[:0]
 		for _, h := range m.hosts {
-			if h.Zone != l.cfg.Peers.Zone && !slices.Contains(s.zones, h.Zone) {
+			if !slices.Contains(s.zones, h.Zone) {
 				s.zones = append(s.zones, h.Zone)
 			}
 		}
@@ -173,12 +187,20 @@
 		}
 	case members:
 		var outside []string
+		s.fleet = s.fleet[:0]
 		for _, p := range m.list {
+			if p.Name != l.cfg.Peers.Name {
+				s.fleet = append(s.fleet, p.Name)
+			}
 			if p.Zone != l.cfg.Peers.Zone {
 				outside = append(outside, p.Name)
 			}
 		}
 		s.up.Members(now, outside)
+	case agreed:
+		s.decided(decisions.Decided{Version: decisions.Version, Term: m.Term, Index: m.Index, Table: m.Table}, true)
+	case parts:
+		s.decided(m.Decided, false)
 	case ping:
 		if m.Pong {
 			s.up.Heard(now, decisions.Pong)
@@ -222,13 +244,69 @@
 		l.trace.write(Line{Kind: out.Phase.String(), Attempts: out.Agreed, LeftMs: max(out.Until-l.now(), 0).Milliseconds()}, l.now(), l.now())
 		s.keep()
 	}
-	if out.Changed || out.Ask || out.Phase != decisions.Light && len(out.To)+len(out.Pings) > 0 {
-		var zones []agent.ZoneStanding
-		if out.Phase != decisions.Light {
-			for _, z := range s.zones {
-				zones = append(zones, agent.ZoneStanding{Zone: z, Share: out.Share, Left: out.Until})
-			}
+	s.share, s.until = out.Share, out.Until
+	beat := len(out.To)+len(out.Pings) > 0
+	if d, holds := s.parts.Now(l.now()); beat && holds {
+		s.spread(d, 1)
+	}
+	if out.Changed || out.Ask || beat && s.stood {
+		s.order(out.Ask)
+	}
+}
+
+// rumour is how many peers are told at once of a decision that is new.
+const rumour = 8
+
+// decided takes a decision of the council, and tells others of one that is new.
+func (s *siteTask) decided(d decisions.Decided, own bool) {
+	now := s.l.now()
+	news, err := s.parts.Take(now, d, own)
+	if err != nil {
+		slog.Debug("site: decision not believed", "err", err)
+	}
+	if !news {
+		return
+	}
+	slog.Info("site: zones decided", "term", d.Term, "index", d.Index, "age", d.Age.String(), "zones", fmt.Sprintf("%+v", d.Table.Zones))
+	left := 0
+	for _, z := range d.Table.Zones {
+		if d.Table.Share(s.l.cfg.Peers.Zone, z.Name) == 0 {
+			left++
+		}
+	}
+	s.l.trace.write(Line{Kind: "zones", Roll: d.Index, Attempts: left, LeftMs: d.Age.Milliseconds()}, now, now)
+	if d, holds := s.parts.Now(now); holds {
+		s.spread(d, rumour)
+	}
+	s.order(false)
+}
+
+// spread tells some peers, drawn anew, of a decision as it is now.
+func (s *siteTask) spread(d decisions.Decided, to int) {
+	for _, i := range s.rng.Perm(len(s.fleet))[:min(to, len(s.fleet))] {
+		s.l.send(s.fleet[i], KindParts, d)
+	}
+}
+
+// order tells the loop how zones stand: by the council's word while it holds, and by the
+// uplink for those outside.
+func (s *siteTask) order(ask bool) {
+	l := s.l
+	now, own := l.now(), l.cfg.Peers.Zone
+	d, holds := s.parts.Now(now)
+	var out []agent.ZoneStanding
+	for _, zone := range s.zones {
+		z := agent.ZoneStanding{Zone: zone, Share: 1, Reach: 1, Left: now + time.Hour}
+		if holds {
+			z.Share, z.Left = d.Table.Share(own, zone), now+s.parts.Left(now)
+		}
+		if zone != own && s.phase != decisions.Light {
+			z.Share, z.Reach, z.Left = z.Share*s.share, s.share, min(z.Left, s.until)
+		}
+		if z.Share < 1 {
+			out = append(out, z)
 		}
-		l.handZones(zones, out.Ask)
 	}
+	s.stood = len(out) > 0
+	l.handZones(out, ask)
 }
--- a/internal/layer/site_test.go
+++ b/internal/layer/site_test.go
@@ -1,6 +1,7 @@
 package layer
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &siteTask{l: l, up: up, set: decisions.NewSet()}
+	s := &siteTask{l: l, up: up, set: decisions.NewSet(), parts: decisions.NewParts(10 * time.Second), rng: rand.New(rand.NewPCG(1, 2))}
 	s.take(listed{hosts: []evidence.Listed{{Zone: "x"}, {Zone: "z"}, {Zone: "y"}, {Zone: "z"}},
 		entries: entries([]agent.Target{{ID: "s", State: "up"}, {ID: "d", State: "paused"}, {State: "up"}}, decisions.Undated)})
 	return s
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -23,7 +23,9 @@
 	"github.com/BurntSushi/toml"
 
 	"chalkdoor.example/chalkdoor/internal/ballot"
+	"chalkdoor.example/chalkdoor/internal/council"
 	"chalkdoor.example/chalkdoor/internal/decisions"
+	"chalkdoor.example/chalkdoor/internal/zones"
 )
 
 // maxFile bounds an operations file, in bytes.
@@ -38,6 +40,7 @@
 	State   State   `toml:"state" doc:"What the agent has learned, kept on disk for its next life, off by default."`
 	Fleet   Fleet   `toml:"fleet" doc:"Other agents to act together with, off by default."`
 	Vote    Vote    `toml:"vote" doc:"Ejection of report servers by vote of a site's agents; off without an electorate."`
+	Council Council `toml:"council" doc:"The voters that decide for the whole fleet which zones are used; off without voters."`
 	Site    Site    `toml:"site" doc:"How a site, the agents of vote.electorate, finds out that its uplink is lost and goes on by itself."`
 }
 
@@ -91,6 +94,41 @@
 	Trial      Duration `toml:"trial" restart:"yes" doc:"The least time between two trials of an ejected server by the site."`
 }
 
+// Council says who decides which zones the fleet uses, and how.
+type Council struct {
+	Voters    []string `toml:"voters" restart:"yes" doc:"name=address:port of three or five agents, spread over sites, the same at all agents of the fleet; empty: no council."`
+	Bind      string   `toml:"bind" restart:"yes" doc:"address:port of a voter's log, TCP. What is sent to other voters comes from this address."`
+	Dir       string   `toml:"dir" restart:"yes" doc:"Folder of a voter's log, of this agent alone."`
+	Heartbeat Duration `toml:"heartbeat" restart:"yes" doc:"How long a voter waits for its leader before it stands for election."`
+	Bound     Duration `toml:"bound" restart:"yes" doc:"How old the council's last word may be to be acted on."`
+	After     Duration `toml:"after" restart:"yes" doc:"For how long a majority of the sites must see a zone bad before it is left."`
+	Hold      Duration `toml:"hold" restart:"yes" doc:"How long a zone stays out the first time; twice as long each further time."`
+	HoldMost  Duration `toml:"hold_most" restart:"yes" doc:"The longest that it stays out."`
+	Step      Duration `toml:"step" restart:"yes" doc:"The least time between two steps back: 0.1, 0.3, then all of its share."`
+	Most      float64  `toml:"most" restart:"yes" doc:"Part of the fleet's weight that other sites may leave at once."`
+}
+
+// Config is the same as its package has it; nil without voters. The error names the key.
+func (c *Council) Config(self string) (*council.Config, error) {
+	if len(c.Voters) == 0 {
+		return nil, nil
+	}
+	z := zones.Defaults()
+	z.After, z.Hold, z.HoldMost, z.Step, z.Most = time.Duration(c.After), time.Duration(c.Hold), time.Duration(c.HoldMost), time.Duration(c.Step), c.Most
+	out := &council.Config{Self: self, Bind: c.Bind, Dir: c.Dir, Zones: z, Heartbeat: time.Duration(c.Heartbeat)}
+	for i, text := range c.Voters {
+		v, err := council.ParseVoter(text)
+		if err != nil {
+			return nil, fmt.Errorf("voters[%d]: %w", i, err)
+		}
+		out.Voters = append(out.Voters, v)
+	}
+	if b := time.Duration(c.Bound); b < time.Second || b > time.Hour {
+		return nil, fmt.Errorf("bound: %v is not 1s to 1h", b)
+	}
+	return out, out.Validate()
+}
+
 // Site says when a site counts as cut off from all that lies outside.
 type Site struct {
 	Quiet Duration `toml:"quiet" restart:"yes" doc:"For how long nothing from outside (discovery, other sites' agents and servers) must have been heard."`
@@ -125,10 +163,12 @@
 
 // Default is the file that says nothing.
 func Default() File {
-	v, s := ballot.Defaults(), decisions.Defaults()
+	v, s, z := ballot.Defaults(), decisions.Defaults(), zones.Defaults()
 	return File{Log: Log{Format: "text", Level: "info"}, State: State{Every: Duration(time.Second)},
 		Fleet: Fleet{Role: "agent", Seeds: []string{}}, Vote: Vote{Electorate: []string{}, Roll: 1, Cap: v.Cap, Lease: Duration(v.Lease), Longest: Duration(v.Longest),
 			Remember: Duration(v.Remember), Age: Duration(v.Age), Step: Duration(v.Step), Trial: Duration(v.Trial)},
+		Council: Council{Voters: []string{}, Heartbeat: Duration(time.Second), Bound: Duration(15 * time.Second), After: Duration(z.After),
+			Hold: Duration(z.Hold), HoldMost: Duration(z.HoldMost), Step: Duration(z.Step), Most: z.Most},
 		Site: Site{Quiet: Duration(s.Quiet), Beat: Duration(s.Beat), Step: Duration(s.Step), Hold: Duration(s.Hold)}}
 }
 
@@ -268,6 +308,13 @@
 			wrong = append(wrong, &Error{Key: "vote." + key, Text: text})
 		}
 	}
+	if _, err := f.Council.Config(f.Agent.Name); err != nil {
+		key, text, _ := strings.Cut(err.Error(), ": ")
+		wrong = append(wrong, &Error{Key: "council." + key, Text: text})
+	}
+	if len(f.Council.Voters) > 0 && len(f.Vote.Electorate) == 0 {
+		wrong = append(wrong, &Error{Key: "council.voters", Text: "there is no council without vote.electorate"})
+	}
 	site := f.Site.Decisions()
 	site.Site = []string{site.Self}
 	if err := site.Validate(); err != nil {
