--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -52,22 +52,16 @@
 	},
 	// Agents are paused, and go on.
 	"pause-agents": func(_ context.Context, w *world, f *Fault) (func() error, error) {
-		hit, from := w.someAgents(f), w.log.Now()
-		for _, a := range hit {
-			if err := a.proc.Stop(); err != nil {
-				return nil, err
-			}
+		return w.pause(w.someAgents(f))
+	},
+	// The same with voters of the council.
+	"pause-voters": func(_ context.Context, w *world, f *Fault) (func() error, error) {
+		of := slices.DeleteFunc(slices.Clone(w.agents), func(a *agent) bool { return a.council == "" })
+		var hit []*agent
+		for _, i := range w.some(len(of), f.Part) {
+			hit = append(hit, of[i])
 		}
-		return func() error {
-			for _, a := range hit {
-				if err := a.proc.Continue(); err != nil {
-					return err
-				}
-				// What a paused process holds or is sent it cannot answer in time.
-				w.log.Add(referee.Event{At: from, Kind: referee.Killed, Agent: a.name, Deadline: w.log.Now()})
-			}
-			return nil
-		}, nil
+		return w.pause(hit)
 	},
 	// Agents end in order, one step after the other over For, and start again.
 	"roll-agents": func(ctx context.Context, w *world, f *Fault) (func() error, error) {
@@ -184,6 +178,10 @@
 	"slow-servers": func(_ context.Context, w *world, f *Fault) (func() error, error) {
 		return w.fault(f, emu.Faults{Slow: f.Times})
 	},
+	// Servers are slow, and fail a share of what they get.
+	"grey-servers": func(_ context.Context, w *world, f *Fault) (func() error, error) {
+		return w.fault(f, emu.Faults{Slow: f.Times, Errors: f.Share})
+	},
 	"error-servers": func(_ context.Context, w *world, f *Fault) (func() error, error) {
 		return w.fault(f, emu.Faults{Errors: f.Share})
 	},
@@ -305,6 +303,26 @@
 
 func unixMs() float64 { return float64(time.Now().UnixMicro()) / 1000 }
 
+// pause stops agents and returns what lets them go on.
+func (w *world) pause(hit []*agent) (func() error, error) {
+	from := w.log.Now()
+	for _, a := range hit {
+		if err := a.proc.Stop(); err != nil {
+			return nil, err
+		}
+	}
+	return func() error {
+		for _, a := range hit {
+			if err := a.proc.Continue(); err != nil {
+				return err
+			}
+			// What a paused process holds or is sent it cannot answer in time.
+			w.log.Add(referee.Event{At: from, Kind: referee.Killed, Agent: a.name, Deadline: w.log.Now()})
+		}
+		return nil
+	}, nil
+}
+
 // later does something on the run's goroutine after a time, unless the run is over by then.
 func later(ctx context.Context, w *world, after time.Duration, do func() error) {
 	time.AfterFunc(after, func() {
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -54,6 +54,8 @@
 	// Layer lets the agents of each zone eject servers by vote, with messages between them over
 	// links of the laboratory, and lets each write a trace of its votes.
 	Layer bool `toml:"layer"`
+	// Council lets the first agents of the first zones decide for all which zones are used.
+	Council bool `toml:"council"`
 	// Liars are stand-ins in the electorate of the first zone, beside the agents, that vote
 	// falsely.
 	Liars int `toml:"liars"`
--- a/internal/lab/experiment/layer.go
+++ b/internal/lab/experiment/layer.go
@@ -35,7 +35,9 @@
 const (
 	// peersPort and metricsPort are where agents listen for each other and for scrapes, each on
 	// its own address.
-	peersPort, metricsPort = 7946, 9100
+	peersPort, councilPort, metricsPort = 7946, 7947, 9100
+	// voters is how many agents the council has.
+	voters = 3
 	// seeds is how many agents others are found through.
 	seeds = 3
 	// fleetName is the laboratory's.
@@ -52,6 +54,15 @@
 			return err
 		}
 	}
+	if w.fleet.Council {
+		for _, a := range w.agents[:min(voters, len(w.agents))] { // agents take turns by zone
+			own := net.JoinHostPort(w.net.agent(a.index).String(), strconv.Itoa(councilPort))
+			var err error
+			if a.council, err = w.mesh.Join(a.name, own, w.net.relay(a.index)); err != nil {
+				return err
+			}
+		}
+	}
 	w.setMesh()
 	return nil
 }
@@ -178,6 +189,19 @@
 			"longest": time.Duration(v.Longest).String(), "age": time.Duration(v.Age).String(), "step": time.Duration(v.Step).String(),
 			"trial": time.Duration(v.Trial).String()})
 	}
+	if w.mesh != nil && w.fleet.Council {
+		var all []string
+		for _, o := range w.agents {
+			if o.council != "" {
+				all = append(all, o.name+"="+o.council)
+			}
+		}
+		keys := map[string]any{"voters": all}
+		if a.council != "" {
+			keys["bind"], keys["dir"] = net.JoinHostPort(ip, strconv.Itoa(councilPort)), filepath.Join(w.dir, a.name+".council")
+		}
+		table("council", keys)
+	}
 	if err != nil || text.Len() == 0 {
 		return nil, err
 	}
@@ -203,6 +227,31 @@
 	return addrs
 }
 
+// zonesFigures counts what agents heard of the council: its decisions, how old they were when
+// they came, at the most, and when the first one by which a zone is left had reached all agents,
+// since the first fault.
+func zonesFigures(lines []layer.Line, w *world, fig map[string]float64) {
+	began := w.log.Began().UnixMilli()
+	decided, reached := map[uint64]bool{}, map[uint64]map[string]bool{}
+	for _, l := range lines {
+		if l.Kind != "zones" {
+			continue
+		}
+		decided[l.Roll] = true
+		fig["zones_age_ms"] = max(fig["zones_age_ms"], float64(l.LeftMs))
+		if l.Attempts == 0 {
+			continue
+		}
+		if reached[l.Roll] == nil {
+			reached[l.Roll] = map[string]bool{}
+		}
+		if reached[l.Roll][l.Agent] = true; len(reached[l.Roll]) >= len(w.agents) && fig["left_ms"] == 0 && w.first > 0 {
+			fig["left_ms"] = float64(l.AtMs-began) - float64(w.first.Milliseconds())
+		}
+	}
+	fig["decisions"] = float64(len(decided))
+}
+
 func (w *world) tracePath(a *agent) string { return filepath.Join(w.dir, a.name+".trace") }
 
 // scrape adds up what the agents count of themselves.
@@ -294,6 +343,7 @@
 		fig[name] = float64(d) / float64(time.Millisecond)
 	}
 	dark := map[string]bool{}
+	zonesFigures(lines, w, fig)
 	for _, s := range steps {
 		if s.Kind == "dark" {
 			dark[fmt.Sprint(s.Agent, s.Boot)] = true
--- a/internal/lab/experiment/layer_test.go
+++ b/internal/lab/experiment/layer_test.go
@@ -124,3 +124,44 @@
 		t.Errorf("%v lives of agents knew it, want 6", f["dark agents"])
 	}
 }
+
+// together3 is three sites with an agent and three servers each, and a council of all three.
+var together3 = strings.NewReplacer("servers = 4", "servers = 9", `zones = ["a"]`, `zones = ["a", "b", "c"]`, "layer = true", "layer = true\ncouncil = true",
+	`for = "9s"`, `for = "12s"`).Replace(together)
+
+// A zone whose servers fail all they get is left by a decision of the council, which reaches
+// every agent, while agents and votes go on.
+func TestAZoneIsLeftInCommon(t *testing.T) {
+	r := playedTogether(t, together3+`
+[[fault]]
+kind = "error-servers"
+at = "3s"
+for = "9s"
+zone = "b"
+share = 1.0
+`)
+	if f := r.Plays[0].Figures; f["decisions"] < 1 || f["left_ms"] <= 0 {
+		t.Errorf("%v decisions, all agents knew after %v ms", f["decisions"], f["left_ms"])
+	}
+}
+
+// Two of three voters stand still: nothing is decided meanwhile, and what they decide when they
+// wake is one log's.
+func TestACouncilWithoutAMajority(t *testing.T) {
+	r := playedTogether(t, together3+`
+[[fault]]
+kind = "pause-voters"
+at = "2s"
+for = "6s"
+part = 0.67
+[[fault]]
+kind = "error-servers"
+at = "3s"
+for = "4s"
+zone = "b"
+share = 1.0
+`)
+	if f := r.Plays[0].Figures; f["decisions"] > 0 && f["left_ms"] < 5000 {
+		t.Errorf("decided after %v ms, while the majority stood still", f["left_ms"])
+	}
+}
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -254,6 +254,9 @@
 			continue
 		}
 		later(ctx, w, w.start+time.Duration(f.At)-w.log.Now(), func() error {
+			if w.first == 0 {
+				w.first = w.log.Now()
+			}
 			end, err := kinds[f.Kind](ctx, w, f)
 			if err != nil || end == nil {
 				return err
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -83,6 +83,7 @@
 	name    string
 	zone    string
 	peers   string // where others reach it
+	council string // and its log, if it is of the council
 	proc    *procs.Proc
 	view    *emu.View
 	client  *load.Client
@@ -109,6 +110,7 @@
 	scraped  bool                     // the agents serve their metrics
 	fell     map[string]time.Duration // by server: when a fault first befell it
 	losses   []*referee.Loss          // of uplinks
+	first    time.Duration            // when the first fault began; 0: not yet
 	start    time.Duration            // of the load
 
 	todo chan func() error // what the run's goroutine does next
@@ -135,7 +137,7 @@
 		}
 	}()
 	w.effects = emu.NewEffects(w.effectsWindow())
-	for _, of := range []string{"*.state", "*.trace"} { // of this play alone
+	for _, of := range []string{"*.state", "*.trace", "*.council"} { // of this play alone
 		old, err := filepath.Glob(filepath.Join(dir, of))
 		if err != nil {
 			return nil, fmt.Errorf("experiment: %w", err)
--- a/internal/lab/mesh/mesh.go
+++ b/internal/lab/mesh/mesh.go
@@ -31,15 +31,15 @@
 	rng     *rand.Rand
 
 	mu     sync.Mutex
-	names  map[string]string // by source address
-	relays map[string]*relay // by name
+	names  map[string]string   // by source address
+	relays map[string][]*relay // by name
 	closed bool
 	all    sync.WaitGroup
 }
 
 // New returns a network without agents, on which all is well.
 func New(seed uint64) *Mesh {
-	m := &Mesh{rng: rand.New(rand.NewPCG(seed, 11)), names: map[string]string{}, relays: map[string]*relay{}}
+	m := &Mesh{rng: rand.New(rand.NewPCG(seed, 11)), names: map[string]string{}, relays: map[string][]*relay{}}
 	m.Set(func(string, string) Quality { return Quality{} })
 	return m
 }
@@ -69,7 +69,7 @@
 const maxWaiting = 4096
 
 // Join adds an agent that listens, and sends, at own, and returns the address at which others
-// reach it, on ip.
+// reach it, on ip. One that listens at several ports joins once for each.
 func (m *Mesh) Join(name, own string, ip net.IP) (string, error) {
 	to, err := net.ResolveUDPAddr("udp", own)
 	if err != nil {
@@ -86,7 +86,7 @@
 	}
 	r := &relay{name: name, udp: udp, tcp: tcp, to: to, from: ip, conns: map[net.Conn]bool{}}
 	m.mu.Lock()
-	m.names[to.IP.String()], m.relays[name] = name, r
+	m.names[to.IP.String()], m.relays[name] = name, append(m.relays[name], r)
 	m.mu.Unlock()
 	m.all.Add(2)
 	go func() {
@@ -104,22 +104,26 @@
 func (m *Mesh) Stats(name string) Stats {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := m.relays[name]
-	if r == nil {
-		return Stats{}
+	var s Stats
+	for _, r := range m.relays[name] {
+		s.Datagrams += r.packets.Load()
+		s.Bytes += r.bytes.Load()
+		s.Lost += r.lost.Load()
 	}
-	return Stats{r.packets.Load(), r.bytes.Load(), r.lost.Load()}
+	return s
 }
 
 // Close ends all relays and what passes through them.
 func (m *Mesh) Close() {
 	m.mu.Lock()
 	m.closed = true
-	for _, r := range m.relays {
-		r.udp.Close()
-		r.tcp.Close()
-		for c := range r.conns {
-			c.Close()
+	for _, relays := range m.relays {
+		for _, r := range relays {
+			r.udp.Close()
+			r.tcp.Close()
+			for c := range r.conns {
+				c.Close()
+			}
 		}
 	}
 	m.mu.Unlock()
