--- a/internal/lab/experiment/figures.go
+++ b/internal/lab/experiment/figures.go
@@ -45,11 +45,12 @@
 // wrong_ejections those of them that befell servers which liars want out and no fault befalls, eject_ms the mean time from a fault
 // of servers to their ejection by all agents of a zone, peer_bytes_s what an agent was sent by
 // others, dark_ms and light_ms the mean times from the loss of an uplink, and from its return,
-// to when an agent of the site knows it, decisions the council's, left_ms the time from the first
+// to when an agent of the site knows it, decisions the council's, zone_moves how often
+// zones got or lost their whole share by them, left_ms the time from the first
 // fault to when all agents knew one by which a zone is left, zones_age_ms the age of the oldest
 // that was news to an agent.
 var whole = []string{"connections", "probes", "list_calls", "warm_keys", "pressed", "agent_cpu_ms",
-	"failed_attempts", "ejections", "wrong_ejections", "eject_ms", "peer_bytes_s", "dark_ms", "light_ms", "decisions", "left_ms", "zones_age_ms"}
+	"failed_attempts", "ejections", "wrong_ejections", "eject_ms", "peer_bytes_s", "dark_ms", "light_ms", "decisions", "zone_moves", "left_ms", "zones_age_ms"}
 
 // FigureNames are the figures that claims may be made of.
 func FigureNames() (names []string) {
--- a/internal/lab/experiment/layer.go
+++ b/internal/lab/experiment/layer.go
@@ -227,17 +227,24 @@
 	return addrs
 }
 
-// zonesFigures counts what agents heard of the council: its decisions, how old they were when
+// zonesFigures counts what agents heard of the council: its decisions, how often one site's zones
+// got or lost their whole share by them (the most over all agents), how old they were when
 // they came, at the most, and when the first one by which a zone is left had reached all agents,
 // since the first fault.
 func zonesFigures(lines []layer.Line, w *world, fig map[string]float64) {
 	began := w.log.Began().UnixMilli()
+	short, moves := map[string]int{}, map[string]float64{}
 	decided, reached := map[uint64]bool{}, map[uint64]map[string]bool{}
 	for _, l := range lines {
 		if l.Kind != "zones" {
 			continue
 		}
 		decided[l.Roll] = true
+		if l.Bad != short[l.Agent] {
+			moves[l.Agent]++
+			fig["zone_moves"] = max(fig["zone_moves"], moves[l.Agent])
+		}
+		short[l.Agent] = l.Bad
 		fig["zones_age_ms"] = max(fig["zones_age_ms"], float64(l.LeftMs))
 		if l.Attempts == 0 {
 			continue
--- a/internal/layer/layer.go
+++ b/internal/layer/layer.go
@@ -515,7 +515,9 @@
 // ---- the trace ----
 
 // Line is a step of the vote, or of the site, in a trace: a line of JSON. Times are of the day, in Unix ms, to
-// set the traces of agents beside each other; nothing is decided by them.
+// set the traces of agents beside each other; nothing is decided by them. A step of kind zones
+// is a decision of the council that was news: Roll is its index, Attempts how many zones have no
+// share for this site, Bad how many have less than all, LeftMs how old it was.
 type Line struct {
 	AtMs        int64    `json:"at_ms"`
 	Agent       string   `json:"agent"`
--- a/internal/layer/site.go
+++ b/internal/layer/site.go
@@ -268,13 +268,17 @@
 		return
 	}
 	slog.Info("site: zones decided", "term", d.Term, "index", d.Index, "age", d.Age.String(), "zones", fmt.Sprintf("%+v", d.Table.Zones))
-	left := 0
+	left, short := 0, 0
 	for _, z := range d.Table.Zones {
-		if d.Table.Share(s.l.cfg.Peers.Zone, z.Name) == 0 {
+		switch share := d.Table.Share(s.l.cfg.Peers.Zone, z.Name); {
+		case share == 0:
 			left++
+			fallthrough
+		case share < 1:
+			short++
 		}
 	}
-	s.l.trace.write(Line{Kind: "zones", Roll: d.Index, Attempts: left, LeftMs: d.Age.Milliseconds()}, now, now)
+	s.l.trace.write(Line{Kind: "zones", Roll: d.Index, Attempts: left, Bad: short, LeftMs: d.Age.Milliseconds()}, now, now)
 	if d, holds := s.parts.Now(now); holds {
 		s.spread(d, rumour)
 	}
