Keep on disk until when a voter's promises may stand, so that it need not be silent

Need: a voter that starts again is silent for the longest lease, as it does not know what it promised; a site whose agents all restart ejects nothing for a minute.

Change: a voter with a disk keeps one span on it, until when promises of its may stand, and makes none beyond what is synced; its next life abstains for what is left. One write for many promises, on a goroutine of its own: a slow disk holds up promises only, one that fails ends the task.

--- a/cmd/chalkdoor/serve.go
+++ b/cmd/chalkdoor/serve.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -115,6 +116,9 @@
 	}
 	c := layer.Config{Vote: file.Vote.Ballot(cfg.Name), Site: file.Site.Decisions(), Recall: recall, Trace: file.Fleet.Trace, Peers: peers.Config{Fleet: file.Fleet.Name, Name: cfg.Name, Zone: zone,
 		Region: file.Fleet.Region, Role: file.Fleet.Role, Boot: rand.Uint64(), Bind: file.Fleet.Bind, Advertise: file.Fleet.Advertise, Seeds: file.Fleet.Seeds}}
+	if file.State.Dir != "" {
+		c.VotesDir = filepath.Join(file.State.Dir, "votes")
+	}
 	var err error
 	if c.Council, err = file.Council.Config(cfg.Name); err != nil {
 		return nil, fmt.Errorf("operations file: council.%w", err)
--- a/internal/ballot/core.go
+++ b/internal/ballot/core.go
@@ -28,7 +28,9 @@
 // says so, and readers drop the grant, but the weight stays counted.
 //
 // A voter that starts again does not know what it promised, and abstains until all of that
-// has lapsed (Longest, and the drift).
+// has lapsed (Longest, and the drift). One with a disk keeps there until when promises of its
+// may stand at the most, and makes none beyond what is on it (Covers, Covered): its next life
+// abstains for no longer. That is one write for many promises, none of which waits for more.
 //
 // Under a majority of liars no host is removed; with f liars of n and f < n/3 a host that all
 // honest voters see bad gets their n-f >= q grants. A liar is taken to speak for itself
@@ -108,12 +110,17 @@
 	Step time.Duration
 	// Trial is the time between two trials of an ejected host.
 	Trial time.Duration
+	// Promised is for how long after its start promises of earlier lives may stand; negative:
+	// it is not known.
+	Promised time.Duration
+	// Covers is that the caller keeps on disk until when promises may stand: see Covered.
+	Covers bool
 }
 
 // Defaults are the times and the cap where nothing else is said.
 func Defaults() Config {
 	return Config{Cap: 0.4, Lease: 8 * time.Second, Longest: time.Minute, Remember: 2 * time.Minute,
-		Age: 10 * time.Second, Step: time.Second, Trial: time.Second}
+		Age: 10 * time.Second, Step: time.Second, Trial: time.Second, Promised: -1}
 }
 
 // Validate tells what makes no sense, by key.
@@ -171,6 +178,9 @@
 	Table   []Standing
 	Changed bool
 	Notes   []Note
+	// Cover, if not 0, asks for it to be on disk that promises may stand until then, and for
+	// Covered once it is.
+	Cover time.Duration
 }
 
 // Core is one member's vote: a state machine without I/O, not safe for concurrent use.
@@ -180,6 +190,7 @@
 	now       time.Duration
 	born      time.Duration
 	started   bool
+	covered   time.Duration // until when promises may stand by what is on disk
 	voter     bool
 	changedAt time.Duration
 	sentAgain int // of again
@@ -291,9 +302,18 @@
 
 // quarantined tells whether an earlier life may have granted what still stands.
 func (c *Core) quarantined() bool {
-	return c.now-c.born < time.Duration(float64(c.cfg.Longest)*(1+2*drift))
+	if c.cfg.Promised >= 0 {
+		return c.now-c.born < c.cfg.Promised
+	}
+	return c.now-c.born < c.cfg.Whole()
 }
 
+// Whole is how long a promise stands at the most.
+func (c *Config) Whole() time.Duration { return time.Duration(float64(c.Longest) * (1 + 2*drift)) }
+
+// Covered takes that it is on disk, synced, that promises may stand until a time.
+func (c *Core) Covered(until time.Duration) { c.covered = max(c.covered, until) }
+
 // Tick decides anew, with all that has come and was seen, and returns what is to be done. It
 // is to be called every few tens of milliseconds.
 func (c *Core) Tick(now time.Duration) *Out {
@@ -519,6 +539,12 @@
 		}
 		return
 	}
+	if c.cfg.Covers && c.now+c.cfg.Whole() > c.covered {
+		c.out.Cover = c.now + 2*c.cfg.Whole() // so that the next promises need not wait
+		if c.now+time.Duration(float64(c.lease(m))*(1+2*drift)) > c.covered {
+			return
+		}
+	}
 	lease, kind := c.lease(m), "grant"
 	if m.answer == Grant {
 		kind = "renew"
--- a/internal/ballot/core_test.go
+++ b/internal/ballot/core_test.go
@@ -378,3 +378,44 @@
 		}
 	}
 }
+
+// Voters with a disk promise nothing beyond what is on it, and ask for more before that is used
+// up; one whose earlier life's promises have lapsed votes at once.
+func TestNoPromiseBeyondTheCover(t *testing.T) {
+	s := settled(t, 1, 3, 12)
+	for _, m := range s.members {
+		m.core.cfg.Covers = true
+	}
+	h := s.hosts[3].Host
+	s.bad[h] = evidence.Failed
+	s.run(3 * time.Second)
+	if got := s.holding(h); got != 0 || s.count("grant", &h) != 0 {
+		t.Fatalf("%d hold it ejected without a cover", got)
+	}
+	for _, m := range s.members {
+		asked := m.core.out.Cover
+		if asked < m.core.now+s.cfg.Whole() {
+			t.Fatalf("%s asks for a cover until %v at %v", m.name, asked, m.core.now)
+		}
+		m.core.Covered(asked)
+	}
+	s.run(2 * time.Second)
+	if got := s.holding(h); got != 3 {
+		t.Errorf("%d of 3 hold it ejected with a cover", got)
+	}
+	for _, n := range s.notes {
+		if n.Kind == "grant" && n.Until > n.At+s.cfg.Longest {
+			t.Errorf("granted until %v at %v", n.Until, n.At)
+		}
+	}
+	cfg := s.cfg
+	cfg.Self, cfg.Promised = "x", 0
+	cfg.Roll.Members = []string{"x"}
+	c, err := New(cfg, evidence.New(cfg.Age))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.begin(time.Second); c.quarantined() {
+		t.Error("silent though no promise stands")
+	}
+}
--- a/internal/ballot/interleave_test.go
+++ b/internal/ballot/interleave_test.go
@@ -21,6 +21,7 @@
 	wrongEnd      defect = "a lease is counted from when the letter came"
 	wholeCap      defect = "each voter promises as much as the site may eject"
 	staleTable    defect = "a standing has no end"
+	notSynced     defect = "a promise is made before its cover is on disk"
 )
 
 // small is three voters, two of whose three hosts are bad, at every moment that matters: a
@@ -36,9 +37,12 @@
 	promised map[string]time.Duration
 	passed   int
 	crashes  int
-	seconds  int  // that may pass, and
-	mayCrash int  // crashes of the first voter
-	mayHeal  bool // the first host gets well in the eyes of the first voter
+	seconds  int           // that may pass, and
+	mayCrash int           // crashes of the first voter
+	covers   bool          // which has a disk, and
+	disk     time.Duration // until when it says that promises may stand
+	saving   time.Duration // and what is being written; 0: nothing
+	mayHeal  bool          // the first host gets well in the eyes of the first voter
 }
 
 type voter3 struct {
@@ -54,7 +58,7 @@
 
 func (s *small) config(i int, boot uint64) Config {
 	c := Config{Self: fmt.Sprint("v", i), Boot: boot, Roll: Roll{Number: 1, Members: []string{"v0", "v1", "v2"}}, Cap: 0.5, Lease: 2 * time.Second,
-		Longest: 2 * time.Second, Age: 2 * time.Second, Remember: 0, Step: time.Second, Trial: time.Second}
+		Longest: 2 * time.Second, Age: 2 * time.Second, Remember: 0, Step: time.Second, Trial: time.Second, Promised: -1}
 	if s.bad == wholeCap {
 		c.Cap = 0.5 * 3 / 2 * 2
 	}
@@ -82,6 +86,10 @@
 			core.peers[m] = &peer{votes: map[evidence.Host]vote{}}
 		}
 	}
+	if s.covers && i == 0 {
+		core.cfg.Covers, core.cfg.Promised = true, max(s.disk-s.now, 0)
+		s.saving = 0 // what was not synced is lost
+	}
 	if s.bad == noQuarantine {
 		core.started, core.born = true, s.now-time.Hour
 	}
@@ -125,6 +133,13 @@
 			s.mail[i][j] = l
 		}
 	}
+	if out.Cover > 0 && s.saving == 0 && i == 0 {
+		s.saving = out.Cover
+		if s.bad == notSynced {
+			v.core.Covered(out.Cover)
+			v.due = true
+		}
+	}
 	if out.Changed {
 		v.table = out.Table
 	}
@@ -188,7 +203,7 @@
 // state is a hash of all that matters to what follows.
 func (s *small) state() uint64 {
 	f := fnv.New64a()
-	fmt.Fprint(f, s.now, s.passed, s.crashes, s.promised)
+	fmt.Fprint(f, s.now, s.passed, s.crashes, s.promised, s.disk, s.saving, s.voters[0].core.covered)
 	for i, v := range s.voters {
 		c := v.core
 		fmt.Fprint(f, v.due, v.table, v.well, c.born, c.cfg.Boot, s.says[i])
@@ -245,6 +260,13 @@
 			}
 		}
 	}
+	if s.saving > 0 {
+		steps = append(steps, func() {
+			s.disk, s.saving = s.saving, 0
+			s.voters[0].core.Covered(s.disk)
+			s.voters[0].due = true
+		})
+	}
 	if s.crashes < s.mayCrash {
 		steps = append(steps, func() {
 			s.crashes++
@@ -306,9 +328,10 @@
 }
 
 // begun is the voters as they have heard of each other: who has no echo yet counts nothing.
-func begun(bad defect, seconds, crashes int, heal bool) *small {
+func begun(bad defect, seconds, crashes int, heal, disk bool) *small {
 	s := newSmall(bad)
-	s.seconds, s.mayCrash, s.mayHeal = seconds, crashes, heal
+	s.seconds, s.mayCrash, s.mayHeal, s.covers = seconds, crashes, heal, disk
+	s.voters[0].core.cfg.Covers = disk
 	for range 2 {
 		for i := range 3 {
 			c := s.voters[i].core
@@ -333,13 +356,15 @@
 		heal       bool
 		mostStates int
 		exhausted  bool
+		disk       bool
 	}{
-		{"two motions", 0, 0, false, 1e6, true},
-		{"and a voter that starts again without memory", 0, 1, false, 1e6, true},
-		{"and a voter that changes its mind", 0, 0, true, 1e6, true},
-		{"and leases that lapse, as far as it goes", 3, 0, false, 5000, false},
+		{"two motions", 0, 0, false, 1e6, true, false},
+		{"and a voter that starts again without memory", 0, 1, false, 1e6, true, false},
+		{"and a voter that starts again with its disk", 0, 1, false, 1e6, true, true},
+		{"and a voter that changes its mind", 0, 0, true, 1e6, true, false},
+		{"and leases that lapse, as far as it goes", 3, 0, false, 5000, false, false},
 	} {
-		res := interleave.Search(begun(none, c.seconds, c.crashes, c.heal), c.mostStates)
+		res := interleave.Search(begun(none, c.seconds, c.crashes, c.heal, c.disk), c.mostStates)
 		if res.Err != nil || res.Exhausted != c.exhausted {
 			t.Errorf("%s: %s", c.name, res)
 		}
@@ -354,15 +379,17 @@
 		seconds, crashes int
 		heal             bool
 		trace            string
+		disk             bool
 	}{
-		{wholeCap, 0, 0, false, "0 0 0 0 3"},
-		{noQuarantine, 0, 1, false, "1 1 0 2 4 3 1 2"},
-		{forgetPromise, 0, 0, true, "1 1 0 0 4 0 4"},
-		{staleTable, 2, 0, false, "0 0 1 4 6"},
-		{wrongEnd, 2, 0, false, "0 0 4 3 5"},
+		{wholeCap, 0, 0, false, "0 0 0 0 3", false},
+		{noQuarantine, 0, 1, false, "1 1 0 2 4 3 1 2", false},
+		{forgetPromise, 0, 0, true, "1 1 0 0 4 0 4", false},
+		{staleTable, 2, 0, false, "0 0 1 4 6", false},
+		{wrongEnd, 2, 0, false, "0 0 4 3 5", false},
+		{notSynced, 0, 1, false, "1 1 0 0 2 5 3 1 2 0", true},
 	} {
-		start := func(bad defect) *small { return begun(bad, c.seconds, c.crashes, c.heal) }
-		res := interleave.Search(start(c.bad), 10000)
+		start := func(bad defect) *small { return begun(bad, c.seconds, c.crashes, c.heal, c.disk) }
+		res := interleave.Search(start(c.bad), 100_000)
 		if res.Err == nil || res.Trace != c.trace {
 			t.Errorf("%s: %s, want it found by %s", c.bad, res, c.trace)
 			continue
--- a/internal/layer/layer.go
+++ b/internal/layer/layer.go
@@ -48,7 +48,10 @@
 	Bound   time.Duration
 	// Recall is what an earlier life's Kept had, ages counted on.
 	Recall Kept
-	Trace  string // file that the steps of the vote and of the site are added to; empty: none
+	// VotesDir is a folder of this voter alone, by which a next life knows until when its promises
+	// stand; empty: none, and each life is silent for as long as one may stand.
+	VotesDir string
+	Trace    string // file that the steps of the vote and of the site are added to; empty: none
 	// Aims are the classes' aims, by which an answer is slow.
 	Aims []time.Duration
 }
@@ -327,6 +330,16 @@
 func (l *Layer) vote(ctx context.Context) error {
 	log := evidence.New(l.cfg.Vote.Age)
 	cfg := l.cfg.Vote
+	var disk *cover
+	var saved chan result
+	if l.cfg.VotesDir != "" {
+		var err error
+		if disk, cfg.Promised, err = openCover(l.cfg.VotesDir, cfg.Whole()); err != nil {
+			return err // without it nothing may be promised: a next life would not know
+		}
+		defer disk.close()
+		cfg.Covers, saved = true, disk.saved
+	}
 	core, err := ballot.New(cfg, log)
 	if err != nil {
 		return err
@@ -353,8 +366,18 @@
 					slog.Info("peers", "there", len(m.list))
 				}
 			}
+		case r := <-saved:
+			disk.busy = false
+			if r.err != nil {
+				return fmt.Errorf("vote: cover: %w", r.err)
+			}
+			core.Covered(r.until)
 		case <-tick.C:
-			l.carryOut(core.Tick(l.now()))
+			out := core.Tick(l.now())
+			if out.Cover > 0 && disk != nil {
+				disk.extend(l.now(), out.Cover)
+			}
+			l.carryOut(out)
 			if l.cfg.Council != nil {
 				l.report(&seen, log.Zones(l.now()))
 			}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -176,7 +176,7 @@
 func (v *Vote) Ballot(self string) ballot.Config {
 	return ballot.Config{Self: self, Roll: ballot.Roll{Number: v.Roll, Members: v.Electorate}, Cap: v.Cap, Lease: time.Duration(v.Lease),
 		Longest: time.Duration(v.Longest), Remember: time.Duration(v.Remember), Age: time.Duration(v.Age), Step: time.Duration(v.Step),
-		Trial: time.Duration(v.Trial)}
+		Trial: time.Duration(v.Trial), Promised: -1}
 }
 
 // Error is one thing that is wrong with an operations file.
