Decide in common which part of each site's traffic goes to which zone, own zone first

Change: agents report their rate and how busy probed servers say they are; the machine gives each site its parts: its own zone as far as it is filled to the target, then its region, then beyond, in proportion to what room is left.

Result: property test: what crosses is what has no room at home, no zone over its room while all fits.

--- a/internal/agent/observe.go
+++ b/internal/agent/observe.go
@@ -87,9 +87,12 @@
 // ZoneStanding is what the layer decided of a zone.
 type ZoneStanding struct {
 	Zone  string
-	Share float64       // part of the shares of its servers that is used; 0: nothing is sent there
-	Reach float64       // part of it that is in reach: what is not takes its demand with it
-	Left  time.Duration // that it holds
+	Share float64 // part of the shares of its servers that is used; 0: nothing is sent there
+	Reach float64 // part of it that is in reach: what is not takes its demand with it
+	// Pull is the part of this site's traffic that is to go there, where that is decided for
+	// all zones; 0 for all: it is not.
+	Pull float64
+	Left time.Duration // that it holds
 }
 
 // Sight is the end of an attempt or of a probe, with the server that it was sent to.
@@ -101,6 +104,7 @@
 	Class     int
 	Status    policy.Status
 	Took      time.Duration
+	Util      float64 // of a probe: how busy the server says that it is; negative: not told
 }
 
 // Standing is what the layer decided of one process of a server, as policy.Standing.
@@ -165,8 +169,10 @@
 			out = append(out, policy.Standing{Server: b.name, Part: s.Part, UntilMs: l.until(s.Left), Try: s.Try, Probe: s.Probe})
 		}
 	}
-	// A zone's share is one of each of its servers.
+	// A zone's share, and its pull, are ones of each of its servers. Pulls are measured so that
+	// all servers together weigh as much as without.
 	whole, within := 0.0, 0.0
+	pulls, pulled := l.pulls(o.Zones)
 	for _, id := range slices.Sorted(maps.Keys(l.targets)) {
 		t, b := l.targets[id], l.table.byID[id]
 		if b == nil || t.State != "up" {
@@ -186,11 +192,42 @@
 			out = append(out, policy.Standing{Server: b.name, Part: 1, UntilMs: l.until(z.Left)})
 		}
 		s := &out[j]
-		s.Part *= z.Share
+		s.Part *= z.Share * pulls[z.Zone]
 		s.UntilMs = min(s.UntilMs, l.until(z.Left)) // neither outlasts its own time
 		s.Try, s.Probe = s.Try && z.Share > 0, s.Probe && z.Share > 0
 	}
-	l.handle(&policy.Event{Kind: policy.EvStandings, Standings: out, Within: within / max(whole, 1e-9)})
+	l.handle(&policy.Event{Kind: policy.EvStandings, Standings: out, Within: within / max(whole, 1e-9), Parted: pulled})
+}
+
+// leastPull is what a server weighs at the least, as a part of the mean, where its zone is to get
+// nothing of this site's traffic: it is still there when all else fails.
+const leastPull = 0.01
+
+// pulls is what a server of each zone weighs by the decided parts, as a part of the mean; 1, and
+// false, where none are decided.
+func (l *loop) pulls(list []ZoneStanding) (of map[string]float64, decided bool) {
+	of = map[string]float64{}
+	weight, sum, by := map[string]float64{}, 0.0, 0.0
+	for _, t := range l.targets {
+		if t.State == "up" {
+			weight[t.Zone] += t.Weight
+		}
+	}
+	for _, z := range list {
+		if of[z.Zone] = 1; weight[z.Zone] > 0 && z.Left > 0 {
+			sum += weight[z.Zone] * z.Share
+			by += z.Share * z.Pull
+		}
+	}
+	if by <= 0 || sum <= 0 {
+		return of, false
+	}
+	for _, z := range list {
+		if weight[z.Zone] > 0 {
+			of[z.Zone] = max(z.Pull/weight[z.Zone]*sum/by, leastPull)
+		}
+	}
+	return of, true
 }
 
 // until is the module's time at which so much has passed.
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"chalkdoor.example/chalkdoor/policy"
@@ -69,6 +70,14 @@
 	return r, cn.slot > 0
 }
 
+// util is how busy a load report says that its server is; negative if it does not.
+func (l *loop) util(report []float32) float64 {
+	if i := slices.Index(l.cfg.Settings.Report.Names, "util"); i >= 0 && i < len(report) {
+		return float64(report[i])
+	}
+	return -1
+}
+
 // probe carries out a probe that the module asked for, and tells it the end. One that
 // can't be made is told as Moot: it says nothing of the backend.
 func (l *loop) probe(a *policy.Action) {
@@ -84,7 +93,7 @@
 		l.post(func() {
 			l.probes--
 			if l.layer != nil {
-				l.layer.Attempted(Sight{ID: b.id, StartedMs: startedMs, Status: r.status, Took: ms(r.latencyMs), Probe: true})
+				l.layer.Attempted(Sight{ID: b.id, StartedMs: startedMs, Status: r.status, Took: ms(r.latencyMs), Probe: true, Util: l.util(r.report)})
 			}
 			l.handle(&policy.Event{Kind: policy.EvProbed, Server: server, Status: r.status,
 				LatencyMs: r.latencyMs, Report: r.report})
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -71,7 +71,8 @@
 type Log struct {
 	window time.Duration
 	hosts  map[string]*trail
-	usual  map[int]float64 // by class: part of its aim that an answer takes
+	utils  map[string]*util // by zone
+	usual  map[int]float64  // by class: part of its aim that an answer takes
 }
 
 type trail struct {
@@ -89,12 +90,33 @@
 	lastGood time.Duration
 }
 
+// util is how busy a zone's hosts said that they are: a running mean of the last probes.
+type util struct {
+	mean  float64
+	count int
+	at    time.Duration
+}
+
+// utilMost is how many probes tell how busy a zone is.
+const utilMost = 8
+
+func (l *Log) heard(zone string, x float64, at time.Duration) {
+	u := l.utils[zone]
+	if u == nil || at-u.at > l.window {
+		u = &util{}
+		l.utils[zone] = u
+	}
+	u.count = min(u.count+1, utilMost)
+	u.mean += (x - u.mean) / float64(u.count)
+	u.at = at
+}
+
 // never is a time before all others.
 const never = time.Duration(-1 << 62)
 
 // New returns an empty log that remembers attempts for so long.
 func New(window time.Duration) *Log {
-	return &Log{window: window, hosts: map[string]*trail{}, usual: map[int]float64{}}
+	return &Log{window: window, hosts: map[string]*trail{}, utils: map[string]*util{}, usual: map[int]float64{}}
 }
 
 // Listed says which hosts there are, with weight and zone; others are forgotten. A host in
@@ -136,6 +158,8 @@
 	// Probe is no request. That it is answered says only that the process runs; that nothing
 	// comes is silence as any.
 	Probe bool
+	// Util is how busy the host says that it is, of probes that tell; negative: not told.
+	Util float64
 }
 
 // Saw takes an attempt and returns the kind that it counts as.
@@ -144,6 +168,9 @@
 	if s.Probe && s.Kind == Good {
 		if t != nil && t.host == s.Host {
 			t.probed = max(t.probed, s.Sent)
+			if s.Util >= 0 {
+				l.heard(t.zone, s.Util, s.At)
+			}
 		}
 		return s.Kind
 	}
@@ -236,6 +263,9 @@
 	Name     string
 	Weight   float64 // of its hosts, as listed
 	Met, Bad int     // hosts met, and of them those whose record speaks against them
+	Attempts int
+	Util     float64 // how busy its hosts say that they are, mean of the last
+	Probes   int     // so many
 }
 
 // Zones are all that have a host listed, by name.
@@ -246,8 +276,12 @@
 			out = slices.Insert(out, i, Zone{Name: t.zone})
 		}
 		out[i].Weight += t.weight
+		if u := l.utils[t.zone]; u != nil && now-u.at <= l.window {
+			out[i].Util, out[i].Probes = u.mean, u.count
+		}
 		if r := t.record(now, l.window); r.Attempts > 0 {
 			out[i].Met++
+			out[i].Attempts += r.Attempts
 			if r.Against(now, l.window) {
 				out[i].Bad++
 			}
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -167,11 +167,14 @@
 	l.Listed(hosts)
 	l.Saw(Sight{Host: hosts[0].Host, Kind: Failed, Sent: time.Second, At: time.Second})
 	l.Saw(Sight{Host: hosts[2].Host, Kind: Good, Sent: time.Second, At: time.Second})
-	want := []Zone{{"a", 2, 0, 0}, {"b", 8, 2, 1}}
+	for i, x := range []float64{0.25, 0.75, -1} { // the last tells nothing
+		l.Saw(Sight{Host: hosts[2].Host, Kind: Good, Probe: true, Util: x, Sent: time.Second, At: time.Second + time.Duration(i)})
+	}
+	want := []Zone{{Name: "a", Weight: 2}, {Name: "b", Weight: 8, Met: 2, Bad: 1, Attempts: 2, Util: 0.5, Probes: 2}}
 	if got := l.Zones(2 * time.Second); !slices.Equal(got, want) {
 		t.Errorf("%v, want %v", got, want)
 	}
-	want[1].Met, want[1].Bad = 0, 0
+	want[1] = Zone{Name: "b", Weight: 8}
 	if got := l.Zones(time.Minute); !slices.Equal(got, want) {
 		t.Errorf("a minute later %v, want %v", got, want)
 	}
--- a/internal/layer/layer.go
+++ b/internal/layer/layer.go
@@ -209,7 +209,7 @@
 	}
 	now := l.now()
 	l.box.Put(sight{evidence.Sight{Host: evidence.Host{ID: s.ID, Incarnation: int64(s.StartedMs)}, Class: s.Class, Kind: kind,
-		OfAim: s.Took.Seconds() / l.cfg.Aims[s.Class].Seconds(), Sent: now - s.Took, At: now, Probe: s.Probe}})
+		OfAim: s.Took.Seconds() / l.cfg.Aims[s.Class].Seconds(), Sent: now - s.Took, At: now, Probe: s.Probe, Util: s.Util}})
 }
 
 // kindOf is what an attempt's end says of its host; false if nothing.
@@ -397,10 +397,11 @@
 
 // report tells all voters what was seen of each zone: at once where a view has changed.
 func (l *Layer) report(was *reporter, seen []evidence.Zone) {
-	r := zones.Report{Version: zones.Version, Agent: l.cfg.Peers.Name, Site: l.cfg.Peers.Zone, Boot: l.cfg.Peers.Boot}
+	r := zones.Report{Version: zones.Version, Agent: l.cfg.Peers.Name, Site: l.cfg.Peers.Zone, Region: l.cfg.Peers.Region, Boot: l.cfg.Peers.Boot}
 	var views []zones.View
 	for _, z := range seen[:min(len(seen), zones.MaxZones)] {
-		s := zones.Sight{Zone: z.Name, Weight: z.Weight, Met: z.Met, Bad: z.Bad}
+		s := zones.Sight{Zone: z.Name, Weight: z.Weight, Met: z.Met, Bad: z.Bad, Util: min(z.Util, 1), Probes: z.Probes}
+		r.Rate += float64(z.Attempts) / l.cfg.Vote.Age.Seconds()
 		r.Zones, views = append(r.Zones, s), append(views, s.View())
 	}
 	now := l.now()
--- a/internal/layer/site.go
+++ b/internal/layer/site.go
@@ -149,17 +149,17 @@
 }
 
 type siteTask struct {
-	l     *Layer
-	up    *decisions.Uplink
-	set   *decisions.Set
-	zones []string // of the list
-	phase decisions.Phase
-	share float64 // of what lies outside
-	until time.Duration
-	parts *decisions.Parts
-	fleet []string // agents that are there, but this one
-	rng   *rand.Rand
-	stood bool // some zone had less than all of its share
+	l       *Layer
+	up      *decisions.Uplink
+	set     *decisions.Set
+	zones   []string // of the list
+	phase   decisions.Phase
+	share   float64 // of what lies outside
+	until   time.Duration
+	parts   *decisions.Parts
+	fleet   []string // agents that are there, but this one
+	rng     *rand.Rand
+	renewAt time.Duration // when the loop's orders are to be renewed
 }
 
 func (s *siteTask) take(msg task.Message) {
@@ -249,7 +249,7 @@
 	if d, holds := s.parts.Now(l.now()); beat && holds {
 		s.spread(d, 1)
 	}
-	if out.Changed || out.Ask || beat && s.stood {
+	if out.Changed || out.Ask || l.now() >= s.renewAt {
 		s.order(out.Ask)
 	}
 }
@@ -299,18 +299,22 @@
 	now, own := l.now(), l.cfg.Peers.Zone
 	d, holds := s.parts.Now(now)
 	var out []agent.ZoneStanding
+	s.renewAt = now + time.Hour
 	for _, zone := range s.zones {
 		z := agent.ZoneStanding{Zone: zone, Share: 1, Reach: 1, Left: now + time.Hour}
 		if holds {
 			z.Share, z.Left = d.Table.Share(own, zone), now+s.parts.Left(now)
+			if s.phase == decisions.Light { // a site by itself has its own zone only
+				z.Pull, _ = d.Table.Part(own, zone)
+			}
 		}
 		if zone != own && s.phase != decisions.Light {
 			z.Share, z.Reach, z.Left = z.Share*s.share, s.share, min(z.Left, s.until)
 		}
-		if z.Share < 1 {
+		if z.Share < 1 || z.Pull > 0 || holds && len(d.Table.Parts) > 0 {
 			out = append(out, z)
+			s.renewAt = min(s.renewAt, now+(z.Left-now)/2)
 		}
 	}
-	s.stood = len(out) > 0
 	l.handZones(out, ask)
 }
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -105,6 +105,7 @@
 	Hold      Duration `toml:"hold" restart:"yes" doc:"How long a zone stays out the first time; twice as long each further time."`
 	HoldMost  Duration `toml:"hold_most" restart:"yes" doc:"The longest that it stays out."`
 	Step      Duration `toml:"step" restart:"yes" doc:"The least time between two steps back: 0.1, 0.3, then all of its share."`
+	Target    float64  `toml:"target" restart:"yes" doc:"Part of its weight that a zone is filled to before traffic of its site leaves it; 0: each agent seeks its own way."`
 	Most      float64  `toml:"most" restart:"yes" doc:"Part of the fleet's weight that other sites may leave at once."`
 }
 
@@ -115,6 +116,7 @@
 	}
 	z := zones.Defaults()
 	z.After, z.Hold, z.HoldMost, z.Step, z.Most = time.Duration(c.After), time.Duration(c.Hold), time.Duration(c.HoldMost), time.Duration(c.Step), c.Most
+	z.Target = c.Target
 	out := &council.Config{Self: self, Bind: c.Bind, Dir: c.Dir, Zones: z, Heartbeat: time.Duration(c.Heartbeat)}
 	for i, text := range c.Voters {
 		v, err := council.ParseVoter(text)
@@ -168,7 +170,7 @@
 		Fleet: Fleet{Role: "agent", Seeds: []string{}}, Vote: Vote{Electorate: []string{}, Roll: 1, Cap: v.Cap, Lease: Duration(v.Lease), Longest: Duration(v.Longest),
 			Remember: Duration(v.Remember), Age: Duration(v.Age), Step: Duration(v.Step), Trial: Duration(v.Trial)},
 		Council: Council{Voters: []string{}, Heartbeat: Duration(time.Second), Bound: Duration(15 * time.Second), After: Duration(z.After),
-			Hold: Duration(z.Hold), HoldMost: Duration(z.HoldMost), Step: Duration(z.Step), Most: z.Most},
+			Hold: Duration(z.Hold), HoldMost: Duration(z.HoldMost), Step: Duration(z.Step), Most: z.Most, Target: z.Target},
 		Site: Site{Quiet: Duration(s.Quiet), Beat: Duration(s.Beat), Step: Duration(s.Step), Hold: Duration(s.Hold)}}
 }
 
--- /dev/null
+++ b/internal/zones/parts_test.go
@@ -0,0 +1,131 @@
+package zones
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// What has no room at home leaves it and nothing else does, whatever demand and room there are;
+// no zone is filled past its room while all of it fits; a region goes before what lies beyond.
+func TestSpill(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &want{zones: []string{"a", "b", "c", "d"}, region: map[string]string{"a": "r", "b": "r", "c": "s"},
+			demand: map[string]float64{}, own: map[string]float64{}, foreign: map[string]float64{}}
+		demand, room, over := 0.0, 0.0, 0.0
+		for _, z := range w.zones {
+			w.own[z] = rapid.Float64Range(0, 10).Draw(t, "room of "+z)
+			w.foreign[z] = w.own[z]
+			w.demand[z] = rapid.Float64Range(0.01, 10).Draw(t, "demand of "+z)
+			demand, room, over = demand+w.demand[z], room+w.own[z], over+max(w.demand[z]-w.own[z], 0)
+		}
+		crossing, filled := 0.0, map[string]float64{}
+		for site, parts := range w.spill() {
+			sum := 0.0
+			for z, x := range parts {
+				if !(x >= 0) || math.IsInf(x, 0) {
+					t.Fatalf("%s sends %v to %s", site, x, z)
+				}
+				sum += x
+				filled[z] += x * w.demand[site]
+				if z != site {
+					crossing += x * w.demand[site]
+				}
+			}
+			if room > 0 && math.Abs(sum-1) > 1e-9 {
+				t.Fatalf("the parts of %s add up to %v", site, sum)
+			}
+		}
+		if demand > room {
+			return
+		}
+		if crossing > over+1e-6 {
+			t.Fatalf("%v crosses, %v has no room at home", crossing, over)
+		}
+		for z, x := range filled {
+			if x > w.own[z]+1e-6 {
+				t.Fatalf("%s is filled to %v of %v", z, x, w.own[z])
+			}
+		}
+	})
+	w := &want{zones: []string{"a", "b", "c"}, region: map[string]string{"a": "r", "b": "s", "c": "r"},
+		demand: map[string]float64{"a": 6, "b": 1, "c": 1}, own: map[string]float64{"a": 4, "b": 4, "c": 2}}
+	w.foreign = w.own
+	if got := w.spill()["a"]; math.Abs(got["a"]-4.0/6) > 1e-9 || math.Abs(got["c"]-1.0/6) > 1e-9 || math.Abs(got["b"]-1.0/6) > 1e-9 {
+		t.Errorf("a of a region with c: %v", got)
+	}
+	w.foreign = map[string]float64{"a": 4, "b": 0, "c": 2} // b is left by others
+	if got := w.spill()["a"]; got["b"] != 0 || math.Abs(got["a"]+got["c"]-1) > 1e-9 {
+		t.Errorf("b is left: %v", got)
+	}
+}
+
+// Parts move by steps towards what is wanted, with a pause between, and stand still in calm;
+// what a site wants that is not heard any more stays as it is.
+func TestPartsMoveBySteps(t *testing.T) {
+	m, err := New(Defaults(), Table{Version: Version})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, seq, rates := time.Duration(0), uint64(0), map[string]float64{"a": 100, "b": 100, "c": 100}
+	var moves []time.Duration
+	run := func(d time.Duration) {
+		for end := now + d; now < end; now += 100 * time.Millisecond {
+			seq++
+			for site, rate := range rates {
+				r := Report{Version: Version, Agent: site, Site: site, Boot: 1, Seq: seq, Rate: rate}
+				for _, z := range []string{"a", "b", "c"} {
+					r.Zones = append(r.Zones, Sight{Zone: z, Weight: 10, Met: 4, Util: 0.5, Probes: 3})
+				}
+				if err := m.Report(now, r); err != nil {
+					t.Fatal(err)
+				}
+			}
+			was := m.Table()
+			if next, changed := m.Tick(now); changed {
+				for _, p := range next.Parts {
+					if is, known := was.Part(p.Site, p.Zone); known && math.Abs(is-p.Share) > partStep+1e-9 {
+						t.Fatalf("%+v from %v in one step", p, is)
+					}
+				}
+				moves = append(moves, now)
+				m.Committed(next)
+			}
+		}
+	}
+	home := func(site string) float64 {
+		table := m.Table()
+		x, _ := table.Part(site, site)
+		return x
+	}
+	run(30 * time.Second)
+	if home("a") < 0.94 || home("b") < 0.94 {
+		t.Errorf("%v of a's stay at home, where there is room for all", home("a"))
+	}
+	for i := range moves[1:] {
+		if moves[i+1]-moves[i] < m.cfg.Step {
+			t.Errorf("moves at %v", moves)
+		}
+	}
+	moves = nil
+	rates["a"], rates["b"], rates["c"] = 103, 98, 101
+	run(30 * time.Second)
+	if len(moves) != 0 {
+		t.Errorf("moves in calm: %v", moves)
+	}
+	rates["a"], rates["b"], rates["c"] = 200, 50, 50 // demand of 10 of weight 10, filled to 7.5
+	run(30 * time.Second)
+	if x := home("a"); math.Abs(x-0.75) > 0.06 {
+		t.Errorf("%v of a's stay at home, 0.75 is its room", x)
+	}
+	delete(rates, "a")
+	run(time.Minute)
+	if x := home("a"); math.Abs(x-0.75) > 0.06 {
+		t.Errorf("%v once it is not heard", x)
+	}
+	if table := m.Table(); table.Check() != nil {
+		t.Error(table.Check())
+	}
+}
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -48,6 +48,8 @@
 	Weight float64 // of its hosts that are listed
 	Met    int     // hosts met
 	Bad    int     // of them those whose record speaks against them
+	Util   float64 // how busy its hosts say that they are, mean of the last probes, and
+	Probes int     // of how many
 }
 
 const (
@@ -57,6 +59,8 @@
 	badPart, goodPart = 0.6, 0.3
 	// MaxZones bounds a fleet, maxName its names, maxReports the agents that are listened to.
 	MaxZones, maxName, maxReports = 16, 64, 4096
+	// mostRate and mostUtil bound what an agent may claim.
+	mostRate, mostUtil = 1e6, 4.0
 )
 
 // View is the sight in a word.
@@ -77,6 +81,8 @@
 	Site    string // its zone
 	Boot    uint64 // names the life of its process
 	Seq     uint64 // one more with each of that life
+	Region  string
+	Rate    float64 // attempts a second that it makes for its clients
 	Zones   []Sight
 }
 
@@ -105,11 +111,13 @@
 		return fmt.Errorf("report: version: %d, %d is spoken", r.Version, Version)
 	case r.Agent == "" || len(r.Agent) > 2*maxName || r.Site == "" || len(r.Site) > maxName:
 		return fmt.Errorf("report: agent and site: names of %d and %d bytes", len(r.Agent), len(r.Site))
+	case len(r.Region) > maxName || !(r.Rate >= 0) || r.Rate > mostRate:
+		return fmt.Errorf("report: region and rate: a name of %d bytes, %v", len(r.Region), r.Rate)
 	case len(r.Zones) > MaxZones:
 		return fmt.Errorf("report: zones: %d, at most %d are taken", len(r.Zones), MaxZones)
 	}
 	for i, z := range r.Zones {
-		if z.Zone == "" || len(z.Zone) > maxName || z.Met < 0 || z.Bad < 0 || z.Bad > z.Met || !(z.Weight >= 0) {
+		if z.Zone == "" || len(z.Zone) > maxName || z.Met < 0 || z.Bad < 0 || z.Bad > z.Met || !(z.Weight >= 0) || !(z.Util >= 0) || z.Util > mostUtil || z.Probes < 0 || z.Probes > maxReports {
 			return fmt.Errorf("report: zones[%d]: %q of weight %v, %d of %d bad", i, z.Zone, z.Weight, z.Bad, z.Met)
 		}
 	}
@@ -126,12 +134,15 @@
 	HoldMost, Remember, Step time.Duration
 	// Most is the part of the fleet's weight that may be left by others at once.
 	Most float64
+	// Target is the part of its weight that a zone is filled to before traffic leaves its site
+	// for others; 0: each agent seeks its own way.
+	Target float64
 }
 
 // Defaults are the times where nothing else is said.
 func Defaults() Config {
 	return Config{Fresh: 12 * time.Second, After: 500 * time.Millisecond, Hold: 5 * time.Second, HoldMost: 2 * time.Minute,
-		Remember: 5 * time.Minute, Step: 2 * time.Second, Most: 0.5}
+		Remember: 5 * time.Minute, Step: 2 * time.Second, Most: 0.5, Target: 0.75}
 }
 
 // Validate tells what makes no sense, by key.
@@ -143,6 +154,8 @@
 		return fmt.Errorf("hold: must be above 0 and at most hold_most (%v), is %v", c.HoldMost, c.Hold)
 	case !(c.Most > 0) || c.Most >= 1:
 		return fmt.Errorf("most: must be above 0 and under 1, is %v", c.Most)
+	case !(c.Target >= 0) || c.Target > 1:
+		return fmt.Errorf("target: must be 0 to 1, is %v", c.Target)
 	}
 	return nil
 }
@@ -166,6 +179,7 @@
 	Version int
 	Number  uint64
 	Zones   []Zone // by name; one that is not named is used whole by all
+	Parts   []Part // by site and zone; of a site that is not named nothing is decided
 }
 
 // Check tells what is wrong with a table of another process, by field.
@@ -173,6 +187,14 @@
 	if t.Version != Version || len(t.Zones) > MaxZones {
 		return fmt.Errorf("table: version %d with %d zones", t.Version, len(t.Zones))
 	}
+	if len(t.Parts) > partsZones*partsZones {
+		return fmt.Errorf("table: parts: %d", len(t.Parts))
+	}
+	for i, p := range t.Parts {
+		if p.Site == "" || len(p.Site) > maxName || p.Zone == "" || len(p.Zone) > maxName || !(p.Share >= 0) || p.Share > 1+1e-9 {
+			return fmt.Errorf("table: parts[%d]: %+v", i, p)
+		}
+	}
 	for i, z := range t.Zones {
 		sound := func(k Track) bool { return k.Share >= 0 && k.Share <= 1 && k.Hold >= 0 && k.Leaves >= 0 }
 		if z.Name == "" || len(z.Name) > maxName || !sound(z.Out) || !sound(z.In) {
@@ -207,6 +229,7 @@
 	sites   map[string]bool // that were ever heard
 	table   Table
 	tracks  map[place]*times
+	partsAt time.Duration // when parts last moved
 }
 
 type report struct {
@@ -324,6 +347,9 @@
 			}
 		}
 	}
+	if !slices.Equal(t.Parts, m.table.Parts) {
+		m.partsAt = m.now
+	}
 	t.Zones = slices.Clone(t.Zones)
 	m.table = t
 }
@@ -384,7 +410,8 @@
 		}
 		changed = changed || out || in
 	}
-	if changed {
+	if m.parts(&next, weight) || changed {
+		changed = true
 		next.Version, next.Number = Version, m.table.Number+1
 	}
 	return next, changed
--- a/policy/pick.go
+++ b/policy/pick.go
@@ -174,7 +174,7 @@
 	if b.ramp(s) < 1 {
 		w *= coldPull
 	}
-	if s.zone == b.set.Zone {
+	if s.zone == b.set.Zone && !b.parted {
 		w *= b.own
 	}
 	return -math.Log(u+1e-18) / w
--- a/policy/standings.go
+++ b/policy/standings.go
@@ -16,7 +16,7 @@
 		if s == nil {
 			continue
 		}
-		s.without, s.withoutTo = 1-min(finite(x.Part), 1), finite(x.UntilMs)
+		s.without, s.withoutTo = 1-finite(x.Part), finite(x.UntilMs)
 		if x.Probe && b.set.Limits.Probing && !s.probing {
 			b.probe(s) // it is taken off those that requests earn
 		}
@@ -25,7 +25,7 @@
 			b.tries = append(b.tries, s)
 		}
 	}
-	b.epoch++
+	b.epoch, b.parted = b.epoch+1, ev.Parted
 	// What is out of reach takes its part of the demand with it, and of what there was to serve it.
 	if k := finite(ev.Within) / b.within; k > 0 {
 		b.demand, b.peak, b.within = b.demand*k, b.peak*min(k, 1), finite(ev.Within)
--- a/policy/state.go
+++ b/policy/state.go
@@ -118,6 +118,7 @@
 	surveyed             uint64    // one more than the epoch of the last survey, which found:
 	tries                []*server // that are to be tried
 	within               float64   // part of the fleet that the site reaches
+	parted               bool      // between zones, by the standings
 	ill                  []*server // UnhealthyPending or Unhealthy
 	cold                 []*server
 	warmTop              float64 // weight of the usable warm servers of the top tier
--- a/policy/types.go
+++ b/policy/types.go
@@ -231,13 +231,14 @@
 	Token     uint32
 	Memory    *Memory // not changed and not kept by the Balancer
 	Standings []Standing
+	Parted    bool    // how traffic is parted between zones is in the Standings' parts, which may be over 1
 	Within    float64 // part of the fleet, and of its demand, that this agent's site reaches; 1: all
 }
 
 // Standing is what agents decided together of a server.
 type Standing struct {
 	Server  Addr
-	Part    float64 // of its share that it gets, all agents alike; 0: nothing but trials
+	Part    float64 // of its share that it gets, all agents of a site alike; 0: nothing but trials
 	UntilMs float64 // clock time after which it does not hold any more
 	Try     bool    // this agent is to send it one request soon that may be repeated
 	Probe   bool    // this agent is to probe it
