--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -56,7 +56,7 @@
 	},
 	// The same with voters of the council.
 	"pause-voters": func(_ context.Context, w *world, f *Fault) (func() error, error) {
-		of := slices.DeleteFunc(slices.Clone(w.agents), func(a *agent) bool { return a.council == "" })
+		of := w.agents[:min(voters, len(w.agents))] // the same where they act alone
 		var hit []*agent
 		for _, i := range w.some(len(of), f.Part) {
 			hit = append(hit, of[i])
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -97,6 +97,7 @@
 	At    Duration `toml:"at"`
 	For   Duration `toml:"for"`
 	Times float64  `toml:"times"`
+	Zone  string   `toml:"zone"` // whose clients want more; empty: all
 }
 
 // Fault is something that goes wrong, and ends after For.
@@ -234,6 +235,11 @@
 			bad(at+"zone", "%q is none of the fleet's", x.Zone)
 		}
 	}
+	for i, b := range f.Load.Burst {
+		if b.Zone != "" && !slices.Contains(f.Fleet.Zones, b.Zone) {
+			bad(fmt.Sprintf("load.burst[%d].zone", i), "%q is none of the fleet's", b.Zone)
+		}
+	}
 	for i, c := range f.Claim {
 		at := fmt.Sprintf("claim[%d].", i)
 		if !slices.Contains(FigureNames(), c.Figure) {
--- a/internal/lab/experiment/layer_test.go
+++ b/internal/lab/experiment/layer_test.go
@@ -165,3 +165,17 @@
 		t.Errorf("decided after %v ms, while the majority stood still", f["left_ms"])
 	}
 }
+
+// With a council's parts traffic stays at home where there is room for it; alone half of it
+// crosses zones.
+func TestTrafficStaysNear(t *testing.T) {
+	r := playedTogether(t, strings.Replace(together3, `for = "12s"`, `for = "16s"`, 1)+`
+[[claim]]
+figure = "cross_zone"
+from = "12s"
+max = 0.2
+`)
+	if c := r.Claims[0]; !c.Kept {
+		t.Errorf("%v of the attempts cross zones", c.Value)
+	}
+}
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -113,7 +113,13 @@
 	capacity := float64(fl.Servers) * float64(fleet.Server().Cores) * (slowest + quickest) / 2 * 1000 / mean
 	cfg.Rate = ld.Use * capacity
 	for _, b := range ld.Burst {
-		cfg.Bursts = append(cfg.Bursts, load.Burst{From: time.Duration(b.At), For: time.Duration(b.For), Times: b.Times})
+		x := load.Burst{From: time.Duration(b.At), For: time.Duration(b.For), Times: b.Times}
+		for i := range fl.Agents { // agents take turns by zone
+			if b.Zone != "" && fl.Zones[i%len(fl.Zones)] == b.Zone {
+				x.Agents = append(x.Agents, i)
+			}
+		}
+		cfg.Bursts = append(cfg.Bursts, x)
 	}
 	return cfg
 }
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -53,6 +53,7 @@
 type Burst struct {
 	From, For time.Duration
 	Times     float64
+	Agents    []int // whose clients want more; empty: all
 }
 
 // Retry is what clients do about requests that were refused or failed.
@@ -112,7 +113,7 @@
 			// burst comes moves no other.
 			a := Ask{Agent: agent, At: when, Class: draw(rng, classes), Tenant: draw(rng, tenants), Key: draw(rng, keys)}
 			a.Work = cfg.Classes[a.Class].WorkMs * rng.ExpFloat64()
-			early, taken := rng.Float64() < cfg.Early, rng.Float64() < cfg.times(when)/most
+			early, taken := rng.Float64() < cfg.Early, rng.Float64() < cfg.times(agent, when)/most
 			if early {
 				a.Leaves = cfg.Classes[a.Class].GiveUp / 4
 			}
@@ -128,11 +129,11 @@
 	return plan, nil
 }
 
-// times is how much more than usual comes at a time.
-func (c *Config) times(at time.Duration) float64 {
+// times is how much more than usual comes to an agent at a time.
+func (c *Config) times(agent int, at time.Duration) float64 {
 	x := 1.0
 	for _, b := range c.Bursts {
-		if at >= b.From && at < b.From+b.For {
+		if at >= b.From && at < b.From+b.For && (len(b.Agents) == 0 || slices.Contains(b.Agents, agent)) {
 			x *= b.Times
 		}
 	}
