See a zone as bad that fails a quarter of its attempts on half of its hosts

Checked: a host counted as bad by its last attempt alone, so that at a moment a third of them did, where six in ten were needed. At fault: Sight.View.

Change: a quarter of the attempts, where half of the hosts failed any, makes a zone bad, too; one host that fails all does not.

--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -263,7 +263,9 @@
 	Name     string
 	Weight   float64 // of its hosts, as listed
 	Met, Bad int     // hosts met, and of them those whose record speaks against them
+	Hurt     int     // those that failed any attempt
 	Attempts int
+	Failed   int     // of them the bad ones
 	Util     float64 // how busy its hosts say that they are, mean of the last
 	Probes   int     // so many
 }
@@ -282,6 +284,10 @@
 		if r := t.record(now, l.window); r.Attempts > 0 {
 			out[i].Met++
 			out[i].Attempts += r.Attempts
+			out[i].Failed += r.Bad
+			if r.Bad > 0 {
+				out[i].Hurt++
+			}
 			if r.Against(now, l.window) {
 				out[i].Bad++
 			}
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -170,7 +170,7 @@
 	for i, x := range []float64{0.25, 0.75, -1} { // the last tells nothing
 		l.Saw(Sight{Host: hosts[2].Host, Kind: Good, Probe: true, Util: x, Sent: time.Second, At: time.Second + time.Duration(i)})
 	}
-	want := []Zone{{Name: "a", Weight: 2}, {Name: "b", Weight: 8, Met: 2, Bad: 1, Attempts: 2, Util: 0.5, Probes: 2}}
+	want := []Zone{{Name: "a", Weight: 2}, {Name: "b", Weight: 8, Met: 2, Bad: 1, Hurt: 1, Attempts: 2, Failed: 1, Util: 0.5, Probes: 2}}
 	if got := l.Zones(2 * time.Second); !slices.Equal(got, want) {
 		t.Errorf("%v, want %v", got, want)
 	}
--- a/internal/layer/layer.go
+++ b/internal/layer/layer.go
@@ -400,7 +400,7 @@
 	r := zones.Report{Version: zones.Version, Agent: l.cfg.Peers.Name, Site: l.cfg.Peers.Zone, Region: l.cfg.Peers.Region, Boot: l.cfg.Peers.Boot}
 	var views []zones.View
 	for _, z := range seen[:min(len(seen), zones.MaxZones)] {
-		s := zones.Sight{Zone: z.Name, Weight: z.Weight, Met: z.Met, Bad: z.Bad, Util: min(z.Util, 1), Probes: z.Probes}
+		s := zones.Sight{Zone: z.Name, Weight: z.Weight, Met: z.Met, Bad: z.Bad, Hurt: z.Hurt, Tries: z.Attempts, Failed: z.Failed, Util: min(z.Util, 1), Probes: z.Probes}
 		r.Rate += float64(z.Attempts) / l.cfg.Vote.Age.Seconds()
 		r.Zones, views = append(r.Zones, s), append(views, s.View())
 	}
--- a/internal/layer/site_test.go
+++ b/internal/layer/site_test.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/agent"
+	"chalkdoor.example/chalkdoor/internal/council"
 	"chalkdoor.example/chalkdoor/internal/decisions"
 	"chalkdoor.example/chalkdoor/internal/evidence"
 	"chalkdoor.example/chalkdoor/internal/peers"
+	"chalkdoor.example/chalkdoor/internal/zones"
 	"chalkdoor.example/chalkdoor/policy"
 )
 
@@ -132,3 +134,81 @@
 		t.Errorf("heard twice: %+v", m)
 	}
 }
+
+// The council's word orders shares and parts of zones while it holds; an older one changes
+// nothing, one past its bound is none, and a site by itself goes by its uplink.
+func TestOrdersByTheCouncil(t *testing.T) {
+	s := bareSite(t)
+	l := s.l
+	table := func(number uint64, left string, home float64) zones.Table {
+		return zones.Table{Version: zones.Version, Number: number, Zones: []zones.Zone{{Name: left, In: zones.Track{Share: 1}}},
+			Parts: []zones.Part{{Site: "x", Zone: "x", Share: home}, {Site: "x", Zone: "y", Share: 1 - home}, {Site: "x", Zone: "z"}}}
+	}
+	s.take(members{[]peers.Peer{{Name: "a", Zone: "x"}, {Name: "b", Zone: "x"}, {Name: "c", Zone: "y"}}})
+	s.take(agreed{council.Decision{Term: 2, Index: 7, Table: table(1, "z", 0.75)}})
+	told := map[string]bool{}
+	for m, ok := l.peers.Mailbox().Poll(); ok; m, ok = l.peers.Mailbox().Poll() {
+		if x := m.(peers.Send); x.Kind == KindParts {
+			told[x.To] = true
+		}
+	}
+	if len(told) != 2 || !told["b"] || !told["c"] {
+		t.Errorf("told %v of what is new", told)
+	}
+	o := l.Orders()
+	if len(o.Zones) != 3 || o.Zones[0].Pull != 0.75 || o.Zones[0].Share != 1 || o.Zones[2].Share != 0 || o.Zones[2].Reach != 1 ||
+		o.Zones[1].Left <= 9*time.Second || o.Zones[1].Left > 10*time.Second {
+		t.Errorf("%+v", o.Zones)
+	}
+	s.take(parts{decisions.Decided{Version: decisions.Version, Term: 1, Index: 9, Table: table(2, "y", 0.1)}})
+	if o := l.Orders(); o.Zones[0].Pull != 0.75 || o.Zones[2].Share != 0 {
+		t.Errorf("an older decision: %+v", o.Zones)
+	}
+	s.phase, s.share, s.until = decisions.Dark, 0, l.now()+time.Second
+	s.order(false)
+	if o := l.Orders(); o.Zones[0].Pull != 0 || o.Zones[1].Share != 0 || o.Zones[1].Reach != 0 || o.Zones[1].Left > time.Second {
+		t.Errorf("in the dark: %+v", o.Zones)
+	}
+	s.phase = decisions.Light
+	l.start = l.start.Add(-time.Minute)
+	s.order(false)
+	if o := l.Orders(); len(o.Zones) != 0 {
+		t.Errorf("past its bound: %+v", o.Zones)
+	}
+}
+
+// The voters are told of a view that changes at once, of others seldom; the voter among them by
+// its own mailbox.
+func TestReports(t *testing.T) {
+	s := bareSite(t)
+	l := s.l
+	l.cfg.Vote.Age = 10 * time.Second
+	l.cfg.Council = &council.Config{Self: "a", Voters: []council.Voter{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
+	l.council = council.New(*l.cfg.Council, nil)
+	var was reporter
+	sent := func() (n int) {
+		for _, ok := l.peers.Mailbox().Poll(); ok; _, ok = l.peers.Mailbox().Poll() {
+			n++
+		}
+		return n
+	}
+	good := []evidence.Zone{{Name: "x", Weight: 2, Met: 2, Attempts: 30, Util: 9, Probes: 1}}
+	l.report(&was, good)
+	m, ok := l.council.Mailbox().Poll()
+	if r, _ := m.(council.Report); !ok || r.Seq != 1 || r.Rate != 3 || r.Zones[0].Util != 1 || r.Check() != nil || sent() != 2 {
+		t.Errorf("%+v", m)
+	}
+	l.report(&was, good)
+	if n := sent(); n != 0 {
+		t.Errorf("%d told of what has not changed", n)
+	}
+	l.report(&was, []evidence.Zone{{Name: "x", Weight: 2, Met: 2, Bad: 2, Attempts: 30}})
+	if n := sent(); n != 2 {
+		t.Errorf("%d told of a change, want 2", n)
+	}
+	l.start = l.start.Add(-reportEvery)
+	l.report(&was, []evidence.Zone{{Name: "x", Weight: 2, Met: 2, Bad: 2, Attempts: 30}})
+	if n := sent(); n != 2 {
+		t.Errorf("%d told again in time, want 2", n)
+	}
+}
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -48,6 +48,9 @@
 	Weight float64 // of its hosts that are listed
 	Met    int     // hosts met
 	Bad    int     // of them those whose record speaks against them
+	Hurt   int     // those that failed any attempt
+	Tries  int     // attempts at all of them, and
+	Failed int     // of these the failed, silent and slow ones
 	Util   float64 // how busy its hosts say that they are, mean of the last probes, and
 	Probes int     // of how many
 }
@@ -57,6 +60,10 @@
 	// which part of them makes it so, or well.
 	metLeast          = 2
 	badPart, goodPart = 0.6, 0.3
+	// A zone of which half of the hosts fail some is as bad, though the last that was seen of most
+	// may be good: triesLeast is how many attempts tell, failedPart which part of them must have
+	// failed, and fewPart which may in a zone that is well.
+	triesLeast, failedPart, fewPart = 8, 0.25, 0.15
 	// MaxZones bounds a fleet, maxName its names, maxReports the agents that are listened to.
 	MaxZones, maxName, maxReports = 16, 64, 4096
 	// mostRate and mostUtil bound what an agent may claim.
@@ -65,11 +72,12 @@
 
 // View is the sight in a word.
 func (s *Sight) View() View {
-	switch part := float64(s.Bad) / float64(max(s.Met, 1)); {
-	case s.Met > 0 && part <= goodPart:
-		return Good
-	case s.Met >= metLeast && part >= badPart:
+	part, failed := float64(s.Bad)/float64(max(s.Met, 1)), float64(s.Failed)/float64(max(s.Tries, 1))
+	switch {
+	case s.Met >= metLeast && (part >= badPart || s.Tries >= triesLeast && failed >= failedPart && 2*s.Hurt >= s.Met):
 		return Bad
+	case s.Met > 0 && part <= goodPart && failed <= fewPart:
+		return Good
 	}
 	return Unknown
 }
@@ -117,7 +125,7 @@
 		return fmt.Errorf("report: zones: %d, at most %d are taken", len(r.Zones), MaxZones)
 	}
 	for i, z := range r.Zones {
-		if z.Zone == "" || len(z.Zone) > maxName || z.Met < 0 || z.Bad < 0 || z.Bad > z.Met || !(z.Weight >= 0) || !(z.Util >= 0) || z.Util > mostUtil || z.Probes < 0 || z.Probes > maxReports {
+		if z.Zone == "" || len(z.Zone) > maxName || z.Met < 0 || z.Bad < 0 || z.Bad > z.Met || z.Failed < 0 || z.Failed > z.Tries || z.Hurt < 0 || z.Hurt > z.Met || !(z.Weight >= 0) || !(z.Util >= 0) || z.Util > mostUtil || z.Probes < 0 || z.Probes > maxReports {
 			return fmt.Errorf("report: zones[%d]: %q of weight %v, %d of %d bad", i, z.Zone, z.Weight, z.Bad, z.Met)
 		}
 	}
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -279,3 +279,26 @@
 		}
 	}
 }
+
+// A zone is bad by most of its hosts, or by a quarter of all attempts where half of the hosts
+// failed some; one host that fails all makes no zone bad, and little that was met says
+// nothing.
+func TestViews(t *testing.T) {
+	for _, c := range []struct {
+		s    Sight
+		want View
+	}{
+		{Sight{}, Unknown},
+		{Sight{Met: 1, Tries: 1}, Good},
+		{Sight{Met: 1, Bad: 1, Tries: 3, Failed: 3}, Unknown},
+		{Sight{Met: 2, Bad: 2, Tries: 2, Failed: 2}, Bad},
+		{Sight{Met: 8, Bad: 2, Hurt: 4, Tries: 30, Failed: 10}, Bad},
+		{Sight{Met: 8, Bad: 4, Hurt: 4, Tries: 7, Failed: 4}, Unknown},
+		{Sight{Met: 8, Bad: 1, Hurt: 1, Tries: 30, Failed: 9}, Unknown},
+		{Sight{Met: 8, Bad: 1, Tries: 30, Failed: 2}, Good},
+	} {
+		if got := c.s.View(); got != c.want {
+			t.Errorf("%+v: %v, want %v", c.s, got, c.want)
+		}
+	}
+}
