Keep traffic near only while there is room for all of it

Change: where demand passes the room to the target nothing is parted, at once, and not again before it is under 0.85 of that.

Result: TestPartsMoveBySteps.

--- a/internal/zones/parts.go
+++ b/internal/zones/parts.go
@@ -18,6 +18,8 @@
 	// partStep is the most that a part moves by one decision, partLeast the difference from
 	// which it is worth one.
 	partStep, partLeast = 0.25, 0.05
+	// partAgain is under which part of the room demand must be for parts to be decided again.
+	partAgain = 0.85
 )
 
 // want is what the machine knows of demand: how much of the weight of servers each site's
@@ -140,13 +142,29 @@
 
 // parts moves the table's parts towards what is wanted, by a step, and tells whether it did.
 func (m *Machine) parts(next *Table, weight map[string]float64) bool {
-	if m.cfg.Target <= 0 || m.now-m.began < m.cfg.Step || m.now-m.partsAt < m.cfg.Step {
+	if m.cfg.Target <= 0 || m.now-m.began < m.cfg.Step {
 		return false
 	}
 	w := m.wanted(next.Zones, weight)
 	if w == nil {
 		return false
 	}
+	// Near only while that is safe: where all want more than there is room for, each agent finds
+	// what little room there is better than a share of yesterday's demand does.
+	demand, room := 0.0, 0.0
+	for _, z := range w.zones {
+		room += w.own[z]
+	}
+	for _, d := range w.demand {
+		demand += d
+	}
+	switch most := len(next.Parts) > 0; {
+	case most && demand > room:
+		next.Parts = nil
+		return true
+	case !most && demand > partAgain*room, m.now-m.partsAt < m.cfg.Step:
+		return false
+	}
 	all := 0.0
 	for _, z := range w.zones {
 		all += weight[z]
--- a/internal/zones/parts_test.go
+++ b/internal/zones/parts_test.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	now, seq, rates := time.Duration(0), uint64(0), map[string]float64{"a": 100, "b": 100, "c": 100}
+	now, seq, util, rates := time.Duration(0), uint64(0), 0.5, map[string]float64{"a": 100, "b": 100, "c": 100}
 	var moves []time.Duration
 	run := func(d time.Duration) {
 		for end := now + d; now < end; now += 100 * time.Millisecond {
@@ -77,7 +77,7 @@
 			for site, rate := range rates {
 				r := Report{Version: Version, Agent: site, Site: site, Boot: 1, Seq: seq, Rate: rate}
 				for _, z := range []string{"a", "b", "c"} {
-					r.Zones = append(r.Zones, Sight{Zone: z, Weight: 10, Met: 4, Util: 0.5, Probes: 3})
+					r.Zones = append(r.Zones, Sight{Zone: z, Weight: 10, Met: 4, Util: util, Probes: 3})
 				}
 				if err := m.Report(now, r); err != nil {
 					t.Fatal(err)
@@ -120,6 +120,26 @@
 	if x := home("a"); math.Abs(x-0.75) > 0.06 {
 		t.Errorf("%v of a's stay at home, 0.75 is its room", x)
 	}
+	// Where all together want more than there is room for nothing is decided, at once, and not
+	// again before there is some to spare.
+	rates["a"], rates["b"], rates["c"] = 100, 100, 100
+	util = 0.8
+	run(200 * time.Millisecond)
+	if n := len(m.Table().Parts); n != 0 {
+		t.Errorf("%d parts while all are over their room", n)
+	}
+	util = 0.7
+	run(10 * time.Second)
+	if n := len(m.Table().Parts); n != 0 {
+		t.Errorf("%d parts again at the brim", n)
+	}
+	util = 0.5
+	run(30 * time.Second)
+	if home("b") < 0.94 {
+		t.Errorf("%v of b's stay at home when there is room again", home("b"))
+	}
+	rates["a"], rates["b"], rates["c"] = 200, 50, 50
+	run(30 * time.Second)
 	// A zone that is left gets nothing at once, whatever the step.
 	m.table.Zones[1].Out.Share = 0
 	run(m.cfg.Step + 200*time.Millisecond)
