Act on a council's decision only once a majority has vouched for it

Seen on rereading: a voter that starts again, or wakes, finds old tables in its log; each was handed to the site with no age, as if a majority had just borne it out, and acted on and spread for the whole bound. At fault: decided in site.go for what fsm.Apply brings; the age that travels was right, the first was not.

Change: what comes out of the log is known and not acted on; the leader vouches as soon as a majority has written a proposal, and each second. Peers are told at once of what is new or holds again.

--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -115,7 +115,8 @@
 type Decision struct {
 	Term, Index uint64
 	Table       zones.Table
-	// Vouched is that a majority has just borne it out.
+	// Vouched is that a majority has just borne it out. What a voter finds in its log, at its
+	// start or after a pause, may be as old as the log.
 	Vouched bool
 }
 
@@ -254,7 +255,12 @@
 			proposing = false
 			if err != nil {
 				slog.Warn("council: not agreed on", "err", err)
+				continue
 			}
+			d := f.decision()
+			d.Vouched = true // a majority has just written it
+			machine.Committed(d.Table)
+			c.decided(d)
 		case err := <-vouched:
 			asking = false
 			if err == nil {
--- a/internal/layer/site.go
+++ b/internal/layer/site.go
@@ -198,7 +198,11 @@
 		}
 		s.up.Members(now, outside)
 	case agreed:
-		s.decided(decisions.Decided{Version: decisions.Version, Term: m.Term, Index: m.Index, Table: m.Table}, true)
+		d := decisions.Decided{Version: decisions.Version, Term: m.Term, Index: m.Index, Table: m.Table}
+		if !m.Vouched {
+			d.Age = decisions.Undated // it may have lain in the log for long
+		}
+		s.decided(d, true)
 	case parts:
 		s.decided(m.Decided, false)
 	case ping:
@@ -257,14 +261,16 @@
 // rumour is how many peers are told at once of a decision that is new.
 const rumour = 8
 
-// decided takes a decision of the council, and tells others of one that is new.
+// decided takes a decision of the council, and tells others of one that is new or holds again.
 func (s *siteTask) decided(d decisions.Decided, own bool) {
 	now := s.l.now()
+	_, held := s.parts.Now(now)
 	news, err := s.parts.Take(now, d, own)
 	if err != nil {
 		slog.Debug("site: decision not believed", "err", err)
 	}
-	if !news {
+	d, holds := s.parts.Now(now)
+	if !holds || held && !news {
 		return
 	}
 	slog.Info("site: zones decided", "term", d.Term, "index", d.Index, "age", d.Age.String(), "zones", fmt.Sprintf("%+v", d.Table.Zones))
@@ -279,9 +285,7 @@
 		}
 	}
 	s.l.trace.write(Line{Kind: "zones", Roll: d.Index, Attempts: left, Bad: short, LeftMs: d.Age.Milliseconds()}, now, now)
-	if d, holds := s.parts.Now(now); holds {
-		s.spread(d, rumour)
-	}
+	s.spread(d, rumour)
 	s.order(false)
 }
 
--- a/internal/layer/site_test.go
+++ b/internal/layer/site_test.go
@@ -145,7 +145,12 @@
 			Parts: []zones.Part{{Site: "x", Zone: "x", Share: home}, {Site: "x", Zone: "y", Share: 1 - home}, {Site: "x", Zone: "z"}}}
 	}
 	s.take(members{[]peers.Peer{{Name: "a", Zone: "x"}, {Name: "b", Zone: "x"}, {Name: "c", Zone: "y"}}})
+	// What a voter finds in its log is acted on once a majority vouches for it.
 	s.take(agreed{council.Decision{Term: 2, Index: 7, Table: table(1, "z", 0.75)}})
+	if o := l.Orders(); len(o.Zones) != 0 {
+		t.Errorf("by what lay in the log: %+v", o.Zones)
+	}
+	s.take(agreed{council.Decision{Term: 2, Index: 7, Table: table(1, "z", 0.75), Vouched: true}})
 	told := map[string]bool{}
 	for m, ok := l.peers.Mailbox().Poll(); ok; m, ok = l.peers.Mailbox().Poll() {
 		if x := m.(peers.Send); x.Kind == KindParts {
