Tell other agents of requests as they are sent, and estimate with what they sent

Cause: loads that servers tell are old when they come and each agent knew only its own prompts; long prompts of several agents met at one server and held up the short ones. Change: notices of sent requests go from agent to hub to all, bounded by bytes and hops, and the engine counts foreign prompts; the estimate, admission and keys of pick bettered.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,7 +94,9 @@
 		Save: save, Saved: saved,
 		Self: hub.Member{Name: s.Name, Addr: addr, Zone: s.Zone, Region: s.Region, Control: s.Listen.Control},
 		Beat: time.Duration(s.BeatMs) * time.Millisecond, Core: coreView{d.core}, Seeds: d.seeds, OnChange: d.door.Update,
+		OnNotice: d.door.Heard, LinkMbps: s.Limits.LinkMbps,
 	})
+	d.door.Notify = d.hub.Notify
 	d.ctl = ctl.NewServer(&plane{d}, ctl.Options{SubmitTimeout: 950 * time.Millisecond, ReadTimeout: 900 * time.Millisecond})
 	return d, nil
 }
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -61,6 +61,10 @@
 	quota  *quota.Budget
 
 	Figures Figures
+
+	// Notify, where it is set, is told of each request that was sent, and about how long that keeps
+	// its server reading.
+	Notify func(n pick.Notice, work time.Duration)
 }
 
 // New returns a door that refuses all until it is told what to go by.
@@ -280,3 +284,10 @@
 	defer d.mu.Unlock()
 	return d.picker.Snapshot(d.now())
 }
+
+// Heard takes another agent's notice of a request that it sent that long ago.
+func (d *Door) Heard(age time.Duration, n *pick.Notice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.picker.Heard(d.now(), age, n)
+}
--- a/internal/door/serve.go
+++ b/internal/door/serve.go
@@ -213,7 +213,11 @@
 	}
 	d.mu.Lock()
 	dec.Attempt.Sent(d.now())
+	notice, work := dec.Attempt.Notice()
 	d.mu.Unlock()
+	if d.Notify != nil {
+		d.Notify(notice, work)
+	}
 	resp, err := d.answerHead(cn, a, r)
 	if err != nil {
 		if ctx.Err() != nil {
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"chalkdoor.example/chalkdoor/internal/conf"
@@ -24,6 +25,7 @@
 	"chalkdoor.example/chalkdoor/internal/feed"
 	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/lease"
+	"chalkdoor.example/chalkdoor/internal/pick"
 	"chalkdoor.example/chalkdoor/internal/rpc"
 )
 
@@ -99,6 +101,10 @@
 	// earlier life kept. Both may be nil.
 	Save  func([]byte) error
 	Saved []byte
+	// OnNotice takes a notice of another agent, of that age: see Notify. It is called under the
+	// hub's lock and may be nil. LinkMbps is the machine's link.
+	OnNotice func(age time.Duration, n *pick.Notice)
+	LinkMbps float64
 }
 
 // Hub is the feed of one process.
@@ -123,13 +129,14 @@
 	newest   bool                     // the core has been asked for the newest configuration
 	homeless []string                 // hubs that others named
 	last     Snapshot
+	limit    *rate.Limiter // of the bytes that notices make others take
 }
 
 // New returns a hub of a new life.
 func New(o Options) *Hub {
 	h := &Hub{o: o, start: time.Now(), members: map[string]Member{}, sessions: map[*session]bool{},
 		changed: make(chan struct{}), ended: map[string]time.Duration{}, granted: map[string]bool{}, leases: lease.New(leaseLasts),
-		journal: ev.New[feed.Change](keepEvents)}
+		limit: rate.NewLimiter(0, 100*noticeBytes), journal: ev.New[feed.Change](keepEvents)}
 	h.set = feed.NewSet(h.newSource())
 	h.table = inst.NewTable(h.set.Self(), o.Beat)
 	h.journal.View(h.fold)
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -39,6 +39,7 @@
 	Got      uint64       `msgpack:"g,omitempty"` // version of the receiver's own source that the sender has
 	Linked   bool         `msgpack:"l,omitempty"`
 	Full     bool         `msgpack:"f,omitempty"` // the sender has had all that a hub knows
+	Notices  []notice     `msgpack:"n,omitempty"`
 }
 
 type stream = rpc.Stream[message, message]
@@ -58,6 +59,8 @@
 	heard   time.Duration
 	since   time.Duration // unlinked since
 	cancel  context.CancelFunc
+	notes   []notice    // to be sent
+	poke    *time.Timer // when
 }
 
 // answer serves a session that a peer began.
@@ -96,7 +99,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	h.mu.Lock()
 	s := &session{peer: peer, source: theirs.Source, core: theirs.Core, dialed: first != nil, has: maps.Clone(theirs.Vector),
-		heard: h.now(), since: h.now(), cancel: cancel}
+		heard: h.now(), since: h.now(), cancel: cancel, poke: time.NewTimer(time.Hour)}
+	defer s.poke.Stop()
 	if s.has == nil {
 		s.has = feed.Vector{}
 	}
@@ -146,6 +150,7 @@
 		s.has[d.Source] = max(s.has[d.Source], d.Upto)
 	}
 	h.apply(m.Deltas)
+	h.noticed(s, m.Notices)
 	if m.Got > s.got {
 		s.got = m.Got
 		h.wake()
@@ -183,12 +188,24 @@
 			}
 			due, got, full, link = false, m.Got, m.Full, m.Linked
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
-		case <-beat.C:
-			due = true
+	wait:
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-changed:
+				break wait
+			case <-beat.C:
+				due = true
+				break wait
+			case <-s.poke.C:
+				h.mu.Lock()
+				m := &message{Linked: link, Full: full, Got: got, Notices: h.takeNotes(s)}
+				h.mu.Unlock()
+				if err := st.Send(m); err != nil {
+					return err
+				}
+			}
 		}
 	}
 }
@@ -273,8 +290,9 @@
 		return
 	}
 	defer hangUp()
+	core := h.o.Core.IsCore()
 	h.mu.Lock()
-	mine := &hello{Source: h.set.Self(), Addr: h.o.Self.Addr, Core: h.o.Self.Core, Vector: h.set.Vector()}
+	mine := &hello{Source: h.set.Self(), Addr: h.o.Self.Addr, Core: core, Vector: h.set.Vector()}
 	h.mu.Unlock()
 	if st.Send(&message{Hello: mine, Linked: h.o.Core.Linked()}) != nil {
 		return
--- a/internal/pick/attempt.go
+++ b/internal/pick/attempt.go
@@ -35,6 +35,7 @@
 	at       time.Duration // sent
 	first    time.Duration // estimated
 	prompt   int
+	seq      uint64 // of the instance, as listed when it was placed
 	status   int
 	urgency  int
 	aimAt    time.Duration
@@ -66,11 +67,16 @@
 // Event takes n events of the answer.
 func (a *Attempt) Event(now time.Duration, n int) {
 	a.hear(now)
+	a.begin(now)
+	a.run.Events(now, n)
+}
+
+// begin notes the first event, or that there was none up to now.
+func (a *Attempt) begin(now time.Duration) {
 	if !a.streamed {
 		a.s.service.late[a.urgency].met(now, now > a.aimAt)
 	}
 	a.streamed = true
-	a.run.Events(now, n)
 }
 
 func (a *Attempt) hear(now time.Duration) {
@@ -94,6 +100,9 @@
 		a.run.Events(now, 1)
 	}
 	a.run.End(now, end != NotRun && end != WrongInstance && end != ConnectFailed && end != ClientError)
+	if end == WrongInstance {
+		p.disown(s.inst.ID, a.seq)
+	}
 	if !s.listed {
 		return
 	}
@@ -107,11 +116,6 @@
 	case NotRun:
 		a.hear(now)
 		s.fullTo = now + duration(millis(fullFor)*(0.5+p.rng.Float64()))
-	case WrongInstance:
-		if len(p.wrong) < maxWrong {
-			p.wrong[s.inst.ID] = s.inst.Seq
-		}
-		p.unlist(s)
 	case ConnectFailed:
 		// One that says no is there; one that lets the connect run out is not.
 		p.demote(now, s, now-a.at >= connectSilent)
@@ -130,6 +134,18 @@
 	}
 }
 
+// disown takes an instance out that is not at its address, unless it was named anew since.
+func (p *Picker) disown(id string, seq uint64) {
+	s := p.byID[id]
+	if s == nil || s.inst.Seq > seq {
+		return
+	}
+	if len(p.wrong) < maxWrong {
+		p.wrong[id] = seq
+	}
+	p.unlist(s)
+}
+
 // maxWrong bounds the instances that are kept out of the list by their own word.
 const maxWrong = 4096
 
--- a/internal/pick/place.go
+++ b/internal/pick/place.go
@@ -35,8 +35,8 @@
 	// sure is the part of an estimate, less the usual error, that must fit into the time left.
 	sure = 0.7
 	// shedFrom is the part of a more urgent kind that is late from which requests are refused,
-	// shedSlope how steeply. Of their own kind it is shedOwn. At most shedMost are refused, and
-	// half as many of those that would be in time.
+	// shedSlope how steeply. Where it is over shedOwn of their own kind, those are that would be
+	// late. At most shedMost are refused.
 	shedFrom, shedSlope, shedOwn, shedMost = 0.15, 2.0, 0.5, 0.6
 	// loadFresh is for how long the load that a server told proves that something waits there,
 	// waitsLeast the part of such loads that must have told so.
@@ -91,8 +91,8 @@
 		return refuse(r, best.first-max(r.Setpoint-r.Elapsed, 0)/2, why)
 	}
 	s := best.s
-	a := &Attempt{p: p, s: s, at: now, first: best.first, chain: slices.Clone(p.chain), prompt: r.Prompt,
-		urgency: q.urgency, aimAt: now + r.Setpoint - r.Elapsed, run: s.engine.Begin(now, p.chain, r.Prompt, r.Out)}
+	a := &Attempt{p: p, s: s, seq: s.inst.Seq, at: now, first: best.first, chain: slices.Clone(p.chain), prompt: r.Prompt,
+		urgency: q.urgency, aimAt: now + q.aim(), run: s.engine.Begin(now, p.chain, r.Prompt, r.Out)}
 	s.out = append(s.out, a)
 	s.inflight++
 	v.inflight++
@@ -128,6 +128,14 @@
 	return q
 }
 
+// aim is the time in which an answer is worth its full value.
+func (q *prompt) aim() time.Duration {
+	if q.Setpoint <= 0 {
+		return q.Left
+	}
+	return min(q.Left, q.Setpoint-q.Elapsed)
+}
+
 // priority is what a server is told: the most urgent 0, the next what servers take where
 // nothing is said, those after it up to 9.
 func priority(urgency int) int {
@@ -246,13 +254,9 @@
 	}
 	uncached := 0
 	c.first, uncached = s.engine.EstimateWith(now, cached, q.Prompt, q.Out)
-	aim := q.Left
-	if q.Setpoint > 0 {
-		aim = min(aim, q.Setpoint-q.Elapsed)
-	}
 	first := millis(c.first)
 	wide := wideShare*first + wideErr*millis(v.speeds.Error())
-	c.late = 1 / (1 + math.Exp((millis(aim)-first)/wide))
+	c.late = 1 / (1 + math.Exp((millis(q.aim())-first)/wide))
 	// A first token that is sooner but in time is worth little, yet more than nothing.
 	c.loss = lateLoss*c.late + readLoss*float64(again)/1e3 +
 		work*millis(v.speeds.ReadTime(q.Prompt-uncached, uncached)) + first*1e-5 + p.rng.Float64()*1e-6
@@ -269,34 +273,36 @@
 
 // inadmissible tells why the request is not to be sent, or nothing.
 func (p *Picker) inadmissible(now time.Duration, v *service, q *prompt, best *candidate) string {
-	if !best.s.taken(now) {
-		return ""
-	}
-	if millis(best.first)*sure-millis(v.speeds.Error()) > millis(q.Left) {
+	if millis(best.first)*sure-millis(v.speeds.Error()) > millis(q.Left) && v.taken(now) {
 		return "no server can answer in the time left"
 	}
 	// Less urgent kinds first, and those that come late anyway; but some of all are sent.
-	shed := v.late[q.urgency].at(now) - shedOwn
+	shed := 0.0
 	for i := range q.urgency {
 		shed = max(shed, shedSlope*(v.late[i].at(now)-shedFrom))
 	}
-	if shed = min(shed, shedMost); best.late < 0.5 {
-		shed /= 2
+	if best.late > 0.5 {
+		shed = max(shed, v.late[q.urgency].at(now)-shedOwn)
 	}
-	if shed > 0 && p.rng.Float64() < shed {
+	if shed > 0 && p.rng.Float64() < min(shed, shedMost) && v.taken(now) {
 		return "the servers are overloaded, and what is more urgent goes first"
 	}
 	return ""
 }
 
-// taken tells whether what is known of the server shows that half of its places are taken, or
+// taken tells whether what is known of the servers shows that half of their places are taken, or
 // that something waits there: where less is, nothing is refused.
-func (s *server) taken(now time.Duration) bool {
-	if slots := s.engine.Slots(); slots > 0 && 2*max(s.engine.Running(now), s.inflight) >= slots {
-		return true
+func (v *service) taken(now time.Duration) bool {
+	running, slots := 0, 0
+	for _, s := range v.servers {
+		running += max(s.engine.Running(now), s.inflight)
+		slots += s.engine.Slots()
+		load, age, ok := s.engine.Load(now)
+		if ok && age < loadFresh && load.Waiting > 0 && v.waits > waitsLeast && s.engine.Queued(now) > 0 {
+			return true
+		}
 	}
-	load, age, ok := s.engine.Load(now)
-	return ok && age < loadFresh && load.Waiting > 0 && s.service.waits > waitsLeast && s.engine.Queued(now) > 0
+	return slots > 0 && 2*running >= slots
 }
 
 // opened notes that one more connection may be open.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -4,8 +4,9 @@
 //
 // Each agent holds to a part that holds by itself: further sends up to a part of the ratio of
 // its own first ones, and its share of the slack. A new process has no share until a whole
-// window has passed, as its predecessor may have spent it. It is pure and not safe for
-// concurrent use.
+// window has passed, as its predecessor may have spent it. A fifth of the slack is given to
+// nobody: it covers that each agent counts the windows that end with its own sends, and that a
+// few requests lie unevenly in them. It is pure and not safe for concurrent use.
 package quota
 
 import (
