--- /dev/null
+++ b/internal/engine/bench_test.go
@@ -0,0 +1,41 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+
+	"chalkdoor.example/chalkdoor/internal/lab/heap"
+)
+
+// remembering is so many servers of which parts prompt parts each are remembered.
+func remembering(servers, parts int) []*Server {
+	speeds := NewSpeeds()
+	all := make([]*Server, servers)
+	for i := range all {
+		s := NewServer(Shape{Slots: 64, CacheTokens: 600_000, MaxParts: max(parts, 1)}, speeds)
+		for j := range parts {
+			r := s.Begin(0, []Part{{Mix(uint64(i*parts + j)), 200}}, 200, 10)
+			r.Events(ms, 1)
+			r.End(ms, true)
+		}
+		all[i] = s
+	}
+	return all
+}
+
+// What is held for each server, and for each prompt part that is remembered of it, by the number
+// of parts of one server.
+func BenchmarkHeap(b *testing.B) {
+	const servers = 850
+	bare := heap.Of(func() any { return remembering(servers, 0) })
+	for _, parts := range []int{16, 102, 1000} {
+		b.Run(fmt.Sprintf("parts=%d", parts), func(b *testing.B) {
+			var bytes int64
+			for b.Loop() {
+				bytes = heap.Of(func() any { return remembering(servers, parts) })
+			}
+			b.ReportMetric(float64(bytes-bare)/servers/float64(parts), "B/part")
+			b.ReportMetric(float64(bare)/servers, "B/server")
+		})
+	}
+}
--- a/internal/lab/fleetlab/agents.go
+++ b/internal/lab/fleetlab/agents.go
@@ -161,10 +161,17 @@
 	return string(text[max(len(text)-1500, 0):])
 }
 
-// raced tells whether the race detector wrote into its log.
-func (a *Agent) raced() bool {
+// raced is what the race detector wrote into its log; empty if nothing.
+func (a *Agent) raced() string {
 	text, err := os.ReadFile(a.log())
-	return err == nil && bytes.Contains(text, []byte("WARNING: DATA RACE"))
+	if err != nil {
+		return ""
+	}
+	i := bytes.Index(text, []byte("WARNING: DATA RACE"))
+	if i < 0 {
+		return ""
+	}
+	return string(text[i:min(i+4000, len(text))])
 }
 
 // leave notes an end that is on purpose, which lasts until the next start.
@@ -190,6 +197,15 @@
 // Start starts it again, with the disk that it had.
 func (a *Agent) Start() error { return a.start(false) }
 
+// Wipe empties the disk of a machine whose process has ended.
+func (a *Agent) Wipe() error {
+	state := filepath.Join(a.dir, "state")
+	if err := os.RemoveAll(state); err != nil {
+		return errors.Wrap(err, a.Name)
+	}
+	return nil
+}
+
 // Freeze stops its process until Thaw.
 func (a *Agent) Freeze() error {
 	a.mu.Lock()
--- a/internal/lab/fleetlab/client.go
+++ b/internal/lab/fleetlab/client.go
@@ -317,6 +317,7 @@
 		t.Broken, t.End = NoConnect, c.now()
 		return t
 	}
+	c.seen.begin(t.ID, t.Agent)
 	if again := k.exchange(ctx, c.now, t, a.body, a.client%2 == 0, class.silence()); again {
 		c.keep(a.client, k, t)
 		return t
--- a/internal/lab/fleetlab/client_test.go
+++ b/internal/lab/fleetlab/client_test.go
@@ -209,8 +209,10 @@
 		{"more after the answer", func(b *bench, c net.Conn) {
 			in := bufio.NewReader(c)
 			r, body := next(in)
-			forward(b.servers[0], r, body, c, nil)
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			var whole bytes.Buffer
+			forward(b.servers[0], r, body, tee{c, &whole}, nil)
+			whole.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			_, _ = c.Write(whole.Bytes())
 			next(in) // until the client sees it
 		}, "MIXED"},
 		{"ends as complete before its end", func(b *bench, c net.Conn) {
--- a/internal/lab/fleetlab/fleet_test.go
+++ b/internal/lab/fleetlab/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,9 +18,15 @@
 // patience bounds each wait for a signal; a calm machine needs a fraction.
 const patience = time.Minute
 
+// fleets bounds how many fleets are up at once, so that each has a machine's worth of time.
+var fleets = make(chan struct{}, 2)
+
 // startFleet starts a small fleet of the daemon, with shorter bounds than a deployment has.
 func startFleet(t *testing.T, agents, core, servers int, with func(*Config)) (context.Context, *Lab) {
 	t.Helper()
+	t.Parallel()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
 	cfg := DefaultConfig(agents, core, servers)
 	cfg.Program, cfg.Dir, cfg.Zones = daemon, t.TempDir(), 2
 	b := &cfg.Bounds
@@ -182,7 +189,7 @@
 	ctx, l := startFleet(t, 4, 3, 4, func(c *Config) { c.Classes[0].Most = 600 }) // streams of seconds
 	agent := l.Agents[3]
 	wait := l.traffic(ctx, t, 30, 5*time.Second)
-	l.running(ctx, t, agent.IP, 3)
+	require.NoError(t, l.AwaitStreams(ctx, 3, func(s Stream) bool { return s.Agent == agent.IP && l.age(s) }))
 	require.NoError(t, agent.Terminate(ctx), "in order, within its grace")
 	require.NoError(t, agent.Start())
 	require.NoError(t, l.AllReady(ctx))
@@ -193,38 +200,14 @@
 	judged(ctx, t, l)
 }
 
-// running waits until so many streams that were taken by an agent run at servers.
-func (l *Lab) running(ctx context.Context, t *testing.T, agent string, n int) {
-	t.Helper()
-	tick := time.NewTicker(20 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		s := l.seen.all()
-		under := map[string]bool{}
-		for _, r := range s.Records {
-			switch r.Kind {
-			case llm.Started:
-				under[r.Attempt] = true
-			case llm.Ended:
-				delete(under, r.Attempt)
-			}
-		}
-		if len(under) >= n {
-			return
-		}
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			require.FailNow(t, "no streams", "%d of %d run", len(under), n)
-		}
-	}
-}
+// age tells whether a stream is under way for some time: some of its events have come.
+func (l *Lab) age(s Stream) bool { return l.Now()-s.At > 100*time.Millisecond }
 
 func TestCoreMachineIsKilled(t *testing.T) {
 	ctx, l := startFleet(t, 5, 3, 4, nil)
 	wait := l.traffic(ctx, t, 40, 6*time.Second)
 	core := l.Agents[0]
-	l.running(ctx, t, core.IP, 1)
+	require.NoError(t, l.AwaitStreams(ctx, 1, func(s Stream) bool { return s.Agent == core.IP && l.age(s) }))
 	core.Kill()
 	// The core goes on without it: a change is acknowledged, and in force.
 	r := l.Operator.Current().Routes[0]
@@ -265,6 +248,63 @@
 	judged(ctx, t, l)
 }
 
+func TestCoreMachineLosesItsDiskAfterAnAcknowledgement(t *testing.T) {
+	ctx, l := startFleet(t, 4, 3, 2, nil)
+	r := l.Operator.Current().Routes[0]
+	r.TimeoutMs -= 500
+	status, err := l.Operator.Patch(ctx, Patch{Upsert: Upsert{Routes: []Route{r}}})
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	lost := l.Agents[0]
+	for _, a := range l.Agents[:l.cfg.Core] { // the one that acknowledged it, if it has a disk
+		if changes := l.seen.all().Changes; a.IP == changes[len(changes)-1].By {
+			lost = a
+		}
+	}
+	lost.Kill()
+	require.NoError(t, lost.Wipe())
+	l.ReadBack(ctx)
+	assert.Empty(t, l.Check())
+	require.NoError(t, lost.Start())
+	require.NoError(t, l.Settle(ctx))
+	r.TimeoutMs -= 500
+	status, err = l.Operator.Patch(ctx, Patch{Upsert: Upsert{Routes: []Route{r}}})
+	require.NoError(t, err)
+	assert.Equal(t, 200, status)
+	judged(ctx, t, l)
+}
+
+func TestFrozenAgentWakes(t *testing.T) {
+	ctx, l := startFleet(t, 4, 3, 3, nil)
+	wait := l.traffic(ctx, t, 30, 5*time.Second)
+	frozen := l.Agents[3]
+	require.NoError(t, l.AwaitStreams(ctx, 1, func(s Stream) bool { return s.Agent == frozen.IP }))
+	require.NoError(t, frozen.Freeze())
+	require.NoError(t, l.Entry.Await(ctx, func(ready map[string]bool) bool { return !ready[frozen.IP] }))
+	// What it has missed must not come back with it.
+	r := l.Operator.Current().Routes[0]
+	r.Service = serviceB
+	status, err := l.Operator.Patch(ctx, Patch{Upsert: Upsert{Routes: []Route{r}}})
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.NoError(t, frozen.Thaw())
+	require.NoError(t, l.AllReady(ctx))
+	all := wait()
+	assert.Less(t, len(failed(all)), len(all)/10, "%v", failed(all))
+	judged(ctx, t, l)
+}
+
+func TestReloadCutsNothing(t *testing.T) {
+	ctx, l := startFleet(t, 3, 3, 3, nil)
+	wait := l.traffic(ctx, t, 30, 2*time.Second)
+	for _, a := range l.Agents {
+		require.NoError(t, l.AwaitStreams(ctx, 1, func(s Stream) bool { return s.Agent == a.IP && l.age(s) }))
+		require.NoError(t, a.Reload())
+	}
+	assert.Empty(t, failed(wait()))
+	judged(ctx, t, l)
+}
+
 func TestServerLeavesUnderTraffic(t *testing.T) {
 	ctx, l := startFleet(t, 4, 3, 4, nil)
 	wait := l.traffic(ctx, t, 40, 6*time.Second)
@@ -283,9 +323,13 @@
 func TestServerCrashesUnderStreams(t *testing.T) {
 	ctx, l := startFleet(t, 4, 3, 4, func(c *Config) {
 		c.Classes[1].Most, c.Classes[1].Deadline, c.Classes[1].Timeout = 300, 10*time.Second, 10*time.Second // long streams that may be taken up
+		c.Bounds.RetryWindow = 500 * time.Millisecond                                                        // a new process has no share of the budget before
 	})
 	wait := l.traffic(ctx, t, 40, 4*time.Second)
-	l.runningAt(ctx, t, l.Server(0).ID(), 3)
+	path := l.cfg.Classes[1].Path
+	require.NoError(t, l.AwaitStreams(ctx, 3, func(s Stream) bool {
+		return s.Instance == l.Server(0).ID() && strings.HasPrefix(s.Target, path) && l.age(s)
+	}))
 	l.Server(0).Crash()
 	require.NoError(t, l.RestartServer(ctx, 0))
 	all := wait()
@@ -306,32 +350,10 @@
 	judged(ctx, t, l)
 }
 
-// runningAt waits until so many streams run at a server.
-func (l *Lab) runningAt(ctx context.Context, t *testing.T, instance string, n int) {
-	t.Helper()
-	tick := time.NewTicker(10 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		under := 0
-		for _, r := range l.seen.all().Records {
-			if r.Instance == instance && r.Kind == llm.Started {
-				under++
-			} else if r.Instance == instance && r.Kind == llm.Ended {
-				under--
-			}
-		}
-		if under >= n {
-			return
-		}
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			require.FailNow(t, "no streams", "%d of %d run", under, n)
-		}
-	}
-}
-
 func TestPlayPrintsItsFigures(t *testing.T) {
+	t.Parallel()
+	fleets <- struct{}{}
+	defer func() { <-fleets }()
 	cfg := DefaultConfig(3, 3, 3)
 	cfg.Program, cfg.Dir = daemon, t.TempDir()
 	r, err := Play(context.Background(), cfg, Options{For: 2 * time.Second, Fault: "drain"}, nil)
--- a/internal/lab/fleetlab/lab.go
+++ b/internal/lab/fleetlab/lab.go
@@ -114,8 +114,8 @@
 	for i := range cfg.Agents {
 		a := &Agent{Name: fmt.Sprintf("edge-%d", i+1), IP: l.net.ip(10 + i), Zone: l.zones[i%cfg.Zones], Core: i < cfg.Core, lab: l}
 		a.dir = filepath.Join(cfg.Dir, a.Name)
-		if err := os.MkdirAll(a.dir, 0o755); err != nil {
-			return errors.Wrap(err, "fleet")
+		if err := os.Mkdir(a.dir, 0o755); err != nil { // a first start has empty disks
+			return errors.Wrap(err, "give an empty folder that is there")
 		}
 		l.Agents = append(l.Agents, a)
 	}
@@ -211,8 +211,15 @@
 	return l.servers[i]
 }
 
-// RestartServer starts a server in the place of one that has ended, and waits until it is known.
+// reuseAfter is how long the address of a server that has ended is not used again.
+const reuseAfter = 2 * time.Second
+
+// RestartServer starts a server in the place of one that has ended, as soon as its address may
+// be used again, and waits until it is known.
 func (l *Lab) RestartServer(ctx context.Context, i int) error {
+	if !pause(ctx, reuseAfter) {
+		return ctx.Err()
+	}
 	if err := l.startServer(i); err != nil {
 		return err
 	}
@@ -244,11 +251,15 @@
 	if err := l.AllReady(ctx); err != nil {
 		return err
 	}
+	errs := make(chan error, len(l.Agents)*len(l.cfg.Classes))
 	for _, a := range l.Agents {
 		for _, c := range l.cfg.Classes {
-			if err := l.serves(ctx, a, c); err != nil {
-				return err
-			}
+			l.owner.Go(func() { errs <- l.serves(ctx, a, c) })
+		}
+	}
+	for range cap(errs) {
+		if err := <-errs; err != nil {
+			return err
 		}
 	}
 	return nil
@@ -271,6 +282,27 @@
 	}
 }
 
+// AwaitStreams waits until so many of the streams under way are as wanted.
+func (l *Lab) AwaitStreams(ctx context.Context, n int, want func(Stream) bool) error {
+	for {
+		list, more := l.seen.streams()
+		got := 0
+		for _, s := range list {
+			if want(s) {
+				got++
+			}
+		}
+		if got >= n {
+			return nil
+		}
+		select {
+		case <-more:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d of %d streams", got, n)
+		}
+	}
+}
+
 // Probe sends one request of a class directly to an agent.
 func (l *Lab) Probe(ctx context.Context, a *Agent, c *Class) *Try {
 	n := int(l.probes.Add(1))
@@ -295,8 +327,8 @@
 func (l *Lab) Check() []Violation {
 	s := l.seen.all()
 	for _, a := range l.Agents {
-		if a.raced() {
-			s.Ends = append(s.Ends, a.Name+": a data race, see "+a.log())
+		if race := a.raced(); race != "" {
+			s.Ends = append(s.Ends, a.Name+": "+race)
 		}
 	}
 	b := l.cfg.Bounds
--- a/internal/lab/fleetlab/play.go
+++ b/internal/lab/fleetlab/play.go
@@ -49,13 +49,13 @@
 	Failed  map[string]int `json:"failed"` // by kind
 	Classes []ClassReport  `json:"classes"`
 	// Tries of clients, and arrivals at servers beyond the first of each.
-	ClientRetries int           `json:"client_retries"`
-	Repeats       int           `json:"repeats"`
-	Changes       int           `json:"config_changes"`
-	ConfigAckMs   float64       `json:"config_ack_ms"` // the slowest
-	Model         ModelFigures  `json:"model"`
-	Broken        []Violation   `json:"broken"`
-	Setup         time.Duration `json:"setup_ns"` // until all agents served
+	ClientRetries int          `json:"client_retries"`
+	Repeats       int          `json:"repeats"`
+	Changes       int          `json:"config_changes"`
+	ConfigAckMs   float64      `json:"config_ack_ms"` // the slowest
+	Model         ModelFigures `json:"model"`
+	Broken        []Violation  `json:"broken"`
+	Setup         float64      `json:"setup_seconds"` // until all agents served
 }
 
 // ClassReport is what came of one class.
@@ -147,7 +147,7 @@
 	}
 	l.ReadBack(end)
 	r := l.report(&t)
-	r.Fault, r.Seconds, r.Setup = opt.Fault, took.Seconds(), setup
+	r.Fault, r.Seconds, r.Setup = opt.Fault, took.Seconds(), setup.Seconds()
 	return r, nil
 }
 
@@ -227,16 +227,14 @@
 		return other.Thaw()
 	case "crash-server":
 		l.Server(0).Crash()
-		progress("a server crashed: " + l.Server(0).ID())
-		pause(ctx, down)
-		progress("another starts in its place")
+		progress("a server crashed: " + l.Server(0).ID() + "; another is to start in its place")
 		return l.RestartServer(ctx, 0)
 	case "drain":
 		progress("a server leaves: " + l.Server(0).ID())
 		if err := l.Server(0).Leave(ctx); err != nil {
 			return err
 		}
-		progress("it has ended; another starts in its place")
+		progress("it has ended; another is to start in its place")
 		return l.RestartServer(ctx, 0)
 	}
 	return nil
--- a/internal/lab/fleetlab/referee.go
+++ b/internal/lab/fleetlab/referee.go
@@ -27,9 +27,9 @@
 
 // Violation is a broken rule.
 type Violation struct {
-	Rule string
-	At   time.Duration
-	Text string
+	Rule string        `json:"rule"`
+	At   time.Duration `json:"at_ns"`
+	Text string        `json:"text"`
 }
 
 func (v Violation) String() string {
--- a/internal/lab/fleetlab/seen.go
+++ b/internal/lab/fleetlab/seen.go
@@ -101,18 +101,66 @@
 type seen struct {
 	mu sync.Mutex
 	Seen
+	taken map[string]string // tries under way: id to agent
+	more  chan struct{}     // closed at the next record; nil while nobody waits
 }
 
+// begin notes a try that is under way with an agent.
+func (s *seen) begin(id, agent string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.taken == nil {
+		s.taken = map[string]string{}
+	}
+	s.taken[id] = agent
+}
+
+// try notes a try that has ended.
 func (s *seen) try(t *Try) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Tries = append(s.Tries, t)
+	delete(s.taken, t.ID)
 }
 
 func (s *seen) record(r llm.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Records = append(s.Records, r)
+	if s.more != nil {
+		close(s.more)
+		s.more = nil
+	}
+}
+
+// Stream is a run that is under way.
+type Stream struct {
+	llm.Record        // of its start
+	Agent      string // that its client is connected with
+}
+
+// streams are the runs that are under way.
+func (s *seen) streams() (list []Stream, more <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := map[string]llm.Record{}
+	for _, r := range s.Records {
+		switch r.Kind {
+		case llm.Started:
+			open[r.Seal] = r
+		case llm.Ended:
+			delete(open, r.Seal)
+		}
+	}
+	for _, r := range open {
+		if agent, ok := s.taken[r.Attempt]; ok {
+			list = append(list, Stream{r, agent})
+		}
+	}
+	if s.more == nil {
+		s.more = make(chan struct{})
+	}
+	return list, s.more
 }
 
 func (s *seen) ended(how string) {
--- /dev/null
+++ b/internal/pick/bench_test.go
@@ -0,0 +1,83 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chalkdoor.example/chalkdoor/internal/conf"
+	"chalkdoor.example/chalkdoor/internal/engine"
+	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/lab/heap"
+)
+
+func benchList(servers int) *inst.List {
+	l := &inst.List{ByService: map[string][]*inst.Instance{}, ByID: map[string]*inst.Instance{}}
+	for i := range servers {
+		in := &inst.Instance{ID: fmt.Sprintf("i-%08x", i), Service: "llm", Zone: fmt.Sprintf("zone-%d", i%5), Slots: 64, Seq: 1}
+		l.ByService["llm"], l.ByID[in.ID] = append(l.ByService["llm"], in), in
+	}
+	return l
+}
+
+func benchPicker(servers int) *Picker {
+	p := New(Options{Zone: "zone-0", Seed: 1})
+	p.SetConf(0, &conf.Doc{Services: map[string]*conf.Service{"llm": {Name: "llm",
+		Engine: &conf.Engine{Slots: 64, CacheTokens: 600_000, Stride: 4}}}})
+	p.SetList(0, benchList(servers))
+	return p
+}
+
+// met has a picker place and end so many requests, of as many shared prefixes, each with a part of
+// a session of its own.
+func met(p *Picker, prefixes int) {
+	route := &conf.Route{Name: "r", Kind: conf.Streaming, MaxAttempts: 2}
+	now := time.Duration(0)
+	for i := range uint64(prefixes) {
+		now += 10 * time.Millisecond
+		d := p.Place(now, &Request{Route: route, Service: "llm", Model: "m",
+			Parts:  []Part{{ID: engine.Mix(i), Tokens: 200}, {ID: engine.Mix(i + 1<<40), Tokens: 50}},
+			Prompt: 250, Out: 20, Left: 3 * time.Second, Setpoint: time.Second})
+		if d.Kind == Send {
+			d.Attempt.Event(now+time.Millisecond, 1)
+			d.Attempt.End(now+2*time.Millisecond, Served)
+		}
+	}
+}
+
+// A list in which one server is new, and one has gone.
+func BenchmarkSetList(b *testing.B) {
+	for _, servers := range []int{18, 112, 850} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			p := benchPicker(servers)
+			lists := []*inst.List{benchList(servers), benchList(servers + 1)}
+			delete(lists[1].ByID, "i-00000000")
+			lists[1].ByService["llm"] = lists[1].ByService["llm"][1:]
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				p.SetList(time.Duration(i)*time.Millisecond, lists[i%2])
+			}
+		})
+	}
+}
+
+// What a picker holds: for each server, and for the prefixes that it met, up to its bounds.
+func BenchmarkHeap(b *testing.B) {
+	const servers = 850
+	bare := heap.Of(func() any { return benchPicker(servers) })
+	for _, prefixes := range []int{0, 10_000, 100_000, 400_000} {
+		b.Run(fmt.Sprintf("servers=%d/prefixes=%d", servers, prefixes), func(b *testing.B) {
+			var bytes int64
+			for b.Loop() {
+				bytes = heap.Of(func() any {
+					p := benchPicker(servers)
+					met(p, prefixes)
+					return p
+				})
+			}
+			b.ReportMetric(float64(bytes), "B/agent")
+			b.ReportMetric(float64(bare)/servers, "B/server")
+			b.ReportMetric(float64(bytes-bare)/float64(max(prefixes, 1)), "B/prefix")
+		})
+	}
+}
--- /dev/null
+++ b/internal/quota/bench_test.go
@@ -0,0 +1,44 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chalkdoor.example/chalkdoor/internal/lab/heap"
+)
+
+// A request's first send and the question for a further one, of one service among others.
+func BenchmarkServices(b *testing.B) {
+	for _, services := range []int{1, 6, 1000} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			q := New(0.2, 10*time.Second, 58)
+			q.SetAgents(0, 367)
+			names := make([]string, services)
+			for i := range names {
+				names[i] = fmt.Sprintf("service-%d", i)
+			}
+			b.ReportAllocs()
+			for i, now := 0, time.Duration(0); b.Loop(); i++ {
+				now += time.Millisecond
+				q.First(now, names[i%services])
+				q.TryRepeat(now, names[i%services])
+			}
+		})
+	}
+}
+
+func BenchmarkHeap(b *testing.B) {
+	const services = 1000
+	var bytes int64
+	for b.Loop() {
+		bytes = heap.Of(func() any {
+			q := New(0.2, 10*time.Second, 58)
+			for i := range services {
+				q.First(time.Second, fmt.Sprintf("service-%d", i))
+			}
+			return q
+		})
+	}
+	b.ReportMetric(float64(bytes)/services, "B/service")
+}
