--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -120,8 +120,13 @@
 		}
 		name := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("n", rapid.IntRange(0, 4).Draw(t, "n")) })
 		t.Repeat(map[string]func(*rapid.T){
-			"see":   func(t *rapid.T) { a := name.Draw(t, "a"); c.See(c.now, a); see(a) },
-			"grant": func(t *rapid.T) { a, h := name.Draw(t, "a"), name.Draw(t, "h"); c.Grant(c.now, a, h); see(a); held[a][h] = true },
+			"see": func(t *rapid.T) { a := name.Draw(t, "a"); c.See(c.now, a); see(a) },
+			"grant": func(t *rapid.T) {
+				a, h := name.Draw(t, "a"), name.Draw(t, "h")
+				c.Grant(c.now, a, h)
+				see(a)
+				held[a][h] = true
+			},
 			"release": func(t *rapid.T) {
 				a, h := name.Draw(t, "a"), name.Draw(t, "h")
 				c.Release(c.now, a, h)
