Split the start and end of a process into named steps

Cause: Daemon.Run was one function of 80 lines that opened sockets, put the parts together, waited and ended. Change: run.go holds Run and its steps (listen, start, serveReadiness, abort, end); listeners and tasks are types. Nothing else changes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,11 +6,7 @@
 import (
 	"context"
 	"hash/fnv"
-	"net"
-	"net/http"
 	"runtime/debug"
-	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,11 +25,6 @@
 )
 
 const (
-	// linger is for how long connections still come after SIGTERM: the entry asks every second and
-	// takes two misses for an end.
-	linger = 2600 * time.Millisecond
-	// lastWords is what of the grace is kept for telling the others and closing the disk.
-	lastWords = 700 * time.Millisecond
 	// savedServers is the name of the list of servers on disk.
 	savedServers = "servers"
 	// lookEvery is how often the settings file is looked at: it may change without a signal.
@@ -70,7 +61,7 @@
 	debug.SetMemoryLimit(s.Limits.MemoryMB << 20 * 6 / 10)
 	d := &Daemon{path: path, pool: rpc.NewPool()}
 	d.set.Store(s)
-	addr := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort()))
+	addr := peerAddr(s)
 	f := fnv.New64a()
 	f.Write([]byte(s.Name))
 	d.door = door.New(s, f.Sum64())
@@ -143,101 +134,6 @@
 	return out
 }
 
-// Run serves until ctx ends, then ends within the grace. reload has the settings file read again.
-func (d *Daemon) Run(ctx context.Context, reload <-chan struct{}) error {
-	s := d.set.Load()
-	// What works on while the process ends stops by this one.
-	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	errs := make(chan error, 8)
-	var wg sync.WaitGroup
-	run := func(what string, fn func() error) {
-		wg.Go(func() {
-			if err := fn(); err != nil {
-				errs <- errors.Wrap(err, what)
-			}
-		})
-	}
-	// All listen before anything works, so that nothing is left behind where one can't.
-	listeners := map[string]net.Listener{}
-	for _, addr := range []string{s.Listen.Readiness, net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort())), s.Listen.Control, s.Listen.Front} {
-		if addr == "" {
-			continue
-		}
-		ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", addr)
-		if err != nil { // Wrap makes an error of nil, too
-			for _, ln := range listeners {
-				ln.Close()
-			}
-			stop()
-			_ = d.core.Run(work) // closes the state
-			return errors.Wrapf(err, "listen on %s", addr)
-		}
-		listeners[addr] = ln
-	}
-	if ln := listeners[s.Listen.Readiness]; ln != nil {
-		srv := &http.Server{Handler: http.HandlerFunc(d.door.Ready), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
-		run("readiness", func() error {
-			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			return nil
-		})
-		defer context.AfterFunc(work, func() { srv.Close() })()
-	}
-	table := rpc.NewTable()
-	d.core.Declare(table)
-	d.hub.Declare(table)
-	run("peers", func() error {
-		return rpc.Serve(work, listeners[net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort()))], table)
-	})
-	run("core", func() error { return d.core.Run(work) })
-	run("hub", func() error { return d.hub.Run(work) })
-	run("door", func() error { return d.door.Run(work) })
-	run("newest", func() error { d.newest(work); return nil })
-	run("settings", func() error { d.watch(work, reload); return nil })
-	if ln := listeners[s.Listen.Control]; ln != nil {
-		run("control", func() error { return d.ctl.Serve(work, ln) })
-	}
-	if ln := listeners[s.Listen.Front]; ln != nil {
-		run("front", func() error { return d.door.Serve(ln) })
-	}
-	event.Started.Log("node", s.Name, "zone", s.Zone, "disk", s.Disk(), "first", s.FirstStart)
-	var err error
-	select {
-	case err = <-errs:
-		event.PartFailed.Error(err)
-		none, cancel := context.WithCancel(ctx)
-		cancel()
-		d.door.Shutdown(none, 0)
-	case <-ctx.Done():
-		d.end(s)
-	}
-	stop()
-	d.pool.Close()
-	wg.Wait()
-	return err
-}
-
-// end serves to its end what is held, and tells the others.
-func (d *Daemon) end(s *node.Settings) {
-	event.Ending.Log("node", s.Name)
-	d.ending.Store(true)
-	by := time.Now().Add(s.Grace() - lastWords)
-	ctx, cancel := context.WithDeadline(context.Background(), by)
-	defer cancel()
-	d.hub.Ending()
-	d.ctl.Leave()
-	var wg sync.WaitGroup
-	wg.Go(func() { d.core.Handover(ctx) })
-	d.door.Shutdown(ctx, linger)
-	wg.Wait()
-	bye, done := context.WithTimeout(context.Background(), lastWords/2)
-	defer done()
-	d.hub.Bye(bye)
-	event.Ended.Log("node", s.Name)
-}
-
 // newest asks the core once for the newest configuration, so that no older one is gone by.
 func (d *Daemon) newest(ctx context.Context) {
 	for ctx.Err() == nil {
