--- a/internal/core/found.go
+++ b/internal/core/found.go
@@ -19,14 +19,13 @@
 
 // founding is what a process knows of the first view before it is decided.
 type founding struct {
-	began, news  time.Time
-	found        map[string]view.Peer // with a disk, by id
-	others       []view.Peer          // without
-	vote         view.Vote            // as an acceptor of view 1, in memory
-	acked        map[string]bool      // seeds that have this process's announcement
-	round        uint32
-	rest         time.Time // no proposal before
-	disks, loose int
+	began, news time.Time
+	found       map[string]view.Peer // with a disk, by id
+	others      []view.Peer          // without
+	vote        view.Vote            // as an acceptor of view 1, in memory
+	acked       map[string]bool      // seeds that have this process's announcement
+	round       uint32
+	rest        time.Time // no proposal before
 }
 
 type announceCall struct{ Peer view.Peer }
--- a/internal/hub/notice.go
+++ b/internal/hub/notice.go
@@ -33,6 +33,7 @@
 
 // notice is a request that an agent sent to a server.
 type notice struct {
+	//lint:ignore U1000 msgpack reads this field by reflection
 	_msgpack struct{} `msgpack:",as_array"`
 	Instance string
 	Chain    []pick.Part
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -122,15 +122,13 @@
 
 // ask is what a client wants, over its tries.
 type ask struct {
-	class   int
-	key     uint64
-	first   float64
-	again   int
-	pushy   bool // comes again at once, as often as it can
-	served  bool
-	counted bool
-	work    float64
-	ran     int
+	class int
+	key   uint64
+	first float64
+	again int
+	pushy bool // comes again at once, as often as it can
+	work  float64
+	ran   int
 }
 
 type request struct {
--- a/internal/lab/fleetlab/entry.go
+++ b/internal/lab/fleetlab/entry.go
@@ -34,7 +34,6 @@
 	mu      sync.Mutex
 	in      []bool
 	missed  []int
-	asks    int // rounds
 	changed chan struct{}
 }
 
--- a/internal/pick/sim_test.go
+++ b/internal/pick/sim_test.go
@@ -159,7 +159,6 @@
 	batch     []*simJob
 	stepping  bool
 	slow      float64
-	running   int
 	usedByRun int
 }
 
--- a/internal/rollout/interleave_test.go
+++ b/internal/rollout/interleave_test.go
@@ -64,7 +64,6 @@
 
 type smallServer struct {
 	Server
-	member int // requests of members that run there
 }
 
 const later = time.Hour
