Answer the entry with 503 from the first moment of an end

Cause: readiness ended only once the log had taken a line, the feed's lock had been had and the control server told, so an ending process could be asked and still count as ready; no test had several machines leave together. Change: the daemon answers the readiness question itself while it ends, before it asks the door, and marks the end before it logs it. Result: TestAnEndingProcessIsNotReady failed before the change (Should be false) and passes after it: go test -race -count=20 -run TestAnEndingProcessIsNotReady ./internal/daemon: ok. TestSeveralMachinesLeaveAtOnce (three machines, a stream held by each, none ready from 1 s to 4 s after SIGTERM) passed before and after: -count=5: ok. go test -race ./internal/daemon: ok.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -50,6 +51,24 @@
 	return m
 }
 
+// newMachines are machines of one fleet: their ports are alike, and each is a seed.
+func newMachines(t *testing.T, count int) []*machine {
+	first := newMachine(t)
+	machines := []*machine{first}
+	seeds := []string{fmt.Sprintf("%q", net.JoinHostPort(first.ip, strconv.Itoa(first.control)))}
+	for len(machines) < count {
+		m := newMachine(t)
+		m.front, m.readiness, m.control, m.peer = first.front, first.readiness, first.control, first.peer
+		machines = append(machines, m)
+		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(m.ip, strconv.Itoa(m.control))))
+	}
+	for _, m := range machines {
+		m.seeds = "[" + strings.Join(seeds, ", ") + "]"
+		m.write(true)
+	}
+	return machines
+}
+
 // write writes the settings file.
 func (m *machine) write(first bool) {
 	text := fmt.Sprintf(`
@@ -259,6 +278,63 @@
 	p.end()
 }
 
+// A process that ends says so to the entry before it does anything else.
+func TestAnEndingProcessIsNotReady(t *testing.T) {
+	m := newMachine(t)
+	p := m.start()
+	m.call(200, "PUT", "/chalkdoor/config", config(5), "If-Match", "0", "Content-Type", "application/json")
+	m.modelServer("i-1")
+	require.Eventually(t, m.ready, patience, 20*time.Millisecond)
+	p.d.ending.Store(true)
+	require.True(t, p.d.door.Able(), "requests that still come are served")
+	require.False(t, m.ready())
+	p.end()
+}
+
+// Machines that leave together are taken out by the entry in time, though streams hold each of them.
+func TestSeveralMachinesLeaveAtOnce(t *testing.T) {
+	const (
+		answered = time.Second     // the entry asks each second, and counts two misses
+		counted  = 4 * time.Second // by then none may count as ready any more
+	)
+	machines := newMachines(t, 3)
+	var processes []*process
+	for _, m := range machines {
+		processes = append(processes, m.start())
+	}
+	machines[0].call(200, "PUT", "/chalkdoor/config", config(5), "If-Match", "0", "Content-Type", "application/json")
+	server := machines[0].modelServer("i-1")
+	var streams []*http.Response
+	for _, m := range machines {
+		require.Eventually(t, m.ready, patience, 20*time.Millisecond)
+		stream, done := m.ask("/b/x", m.ip)
+		defer done()
+		require.Equal(t, 200, stream.StatusCode)
+		streams = append(streams, stream)
+	}
+	anyReady := func() bool {
+		return slices.ContainsFunc(machines, (*machine).ready)
+	}
+	begun := time.Now()
+	for _, p := range processes {
+		p.term()
+	}
+	require.Eventually(t, func() bool { return !anyReady() }, answered, 5*time.Millisecond)
+	require.Never(t, anyReady, counted-time.Since(begun), 50*time.Millisecond)
+	for _, p := range processes {
+		require.Empty(t, p.ended, "ended under its stream")
+	}
+	close(server.more)
+	for _, stream := range streams {
+		body, err := io.ReadAll(stream.Body)
+		require.NoError(t, err)
+		require.Equal(t, "id: 1\ndata: x\n\n", string(body))
+	}
+	for _, p := range processes {
+		p.end()
+	}
+}
+
 // Streams that are longer than the grace are broken off, and the process ends within it.
 func TestTheGraceOfAProcess(t *testing.T) {
 	m := newMachine(t)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -142,7 +142,7 @@
 
 // serveReadiness answers the entry's questions until ctx ends.
 func (d *Daemon) serveReadiness(ctx context.Context, ln net.Listener) error {
-	srv := &http.Server{Handler: http.HandlerFunc(d.door.Ready), ReadHeaderTimeout: readyHeadWithin, IdleTimeout: readyIdle}
+	srv := &http.Server{Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: readyHeadWithin, IdleTimeout: readyIdle}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -151,6 +151,16 @@
 	return nil
 }
 
+// ready answers the entry's question. A process that ends is not ready from that moment on, whatever
+// its log, the feed or the door still waits for.
+func (d *Daemon) ready(w http.ResponseWriter, r *http.Request) {
+	if d.ending.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	d.door.Ready(w, r)
+}
+
 // abort breaks off all that is held: a part of the process has failed.
 func (d *Daemon) abort(ctx context.Context) {
 	none, cancel := context.WithCancel(ctx)
@@ -160,8 +170,8 @@
 
 // end serves to its end what is held, and tells the others.
 func (d *Daemon) end(s *node.Settings) {
-	event.Ending.Log("node", s.Name)
 	d.ending.Store(true)
+	event.Ending.Log("node", s.Name)
 	by := time.Now().Add(s.Grace() - lastWords)
 	ctx, cancel := context.WithDeadline(context.Background(), by)
 	defer cancel()
