Place votes and copies by zones and regions too, and hand over votes

Cause: the settings name machine-losses, zones and region-losses; the core used the first alone, so a chain and a majority could stand in one zone. A voter that ended for good stayed a voter: of four voters, the fourth admitted before the first ended, three were left and bore no further loss.

Change: view.Tolerance has all three; Peer knows its region (left out of records where it is empty, so older records are read and compare as before). Voters of the first view and newcomers are chosen such that no tolerated loss takes a majority where the machines allow it (extend); complete copies cover a floor of machines, zones and regions (Floor, floorWithout); joins extend to the region, then the zone that has least; a swap never bears less than before. A voter that says that it ends is swapped for a newcomer, or retired where the others bear more without it. Plan is split into steps. E414 tells once what the voters can't bear.

TestMembersInTroubleAreDropped/ending expected no step after the drop in a core of four; it now expects the retirement and the admission afterwards, and that nothing is due once all is whole.

--- a/internal/chain/sim_test.go
+++ b/internal/chain/sim_test.go
@@ -151,7 +151,7 @@
 			peers = append(peers, peer(b))
 		}
 	}
-	first, _ := view.First(peers, losses)
+	first, _ := view.First(peers, view.Tolerance{Machines: losses})
 	s.decided[1] = first
 	for _, b := range s.boxes[:len(peers)] {
 		if s.rng.IntN(4) > 0 { // the others learn it
@@ -574,7 +574,7 @@
 	switch s.rng.IntN(6) {
 	case 0, 4:
 		n := v.Drop(v.Chain[s.rng.IntN(len(v.Chain))].ID)
-		floor := v.Floor(losses)
+		floor := v.Floor(view.Tolerance{Machines: losses}).Machines
 		if s.defect == tooShort {
 			floor = 1
 		}
@@ -801,7 +801,7 @@
 	for _, b := range s.boxes {
 		found = append(found, peer(b))
 	}
-	first, _ := view.First(found, losses)
+	first, _ := view.First(found, view.Tolerance{Machines: losses})
 	s.decided[1] = first
 	for _, b := range s.boxes {
 		b.view = first
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,20 +58,23 @@
 
 // Options say what a Member is and whom it tells.
 type Options struct {
-	Addr       string // HOST:PORT at which this agent is called
-	Zone       string
-	Dir        string // of the state; "": in memory
-	HasDisk    bool   // the machine is of the core
-	FirstStart bool   // the whole system starts for the first time
-	Seeds      func() []string
-	Known      func() []string // more addresses of agents, may be nil
-	Losses     int             // machine losses to be borne at once
-	Counted    bool            // this machine's loss is one of those
-	Pool       *rpc.Pool
-	Check      chain.Check
-	OnCommit   func(chain.Value) // newest committed values, Seq rising; may be nil
-	OnView     func(view.View)   // newer views, Number rising; may be nil
-	AckWithin  time.Duration     // bounds Submit and Read; 0: 900 ms
+	Addr         string // HOST:PORT at which this agent is called
+	Zone         string
+	Region       string
+	Dir          string // of the state; "": in memory
+	HasDisk      bool   // the machine is of the core
+	FirstStart   bool   // the whole system starts for the first time
+	Seeds        func() []string
+	Known        func() []string // more addresses of agents, may be nil
+	Losses       int             // machine losses to be borne at once
+	ZoneLosses   int             // or losses of whole zones
+	RegionLosses int             // or losses of whole regions
+	Counted      bool            // this machine's loss is one of those
+	Pool         *rpc.Pool
+	Check        chain.Check
+	OnCommit     func(chain.Value) // newest committed values, Seq rising; may be nil
+	OnView       func(view.View)   // newer views, Number rising; may be nil
+	AckWithin    time.Duration     // bounds Submit and Read; 0: 900 ms
 }
 
 // disk is what a Member needs of a store.
@@ -118,6 +121,7 @@
 	ending    bool
 	founding  founding
 	rounds    map[uint64]uint32 // highest round met, by instance
+	shortfall view.Shortfall    // the last that was reported
 	wantWhy   string            // the step that is waited with
 	wantSince time.Time
 	notBefore time.Time // of the next proposal
@@ -184,7 +188,7 @@
 		}
 	}
 	m.named = ok
-	m.me = view.Peer{ID: string(id), Addr: m.o.Addr, Zone: m.o.Zone, Disk: m.o.Dir != "", Counted: m.o.Counted}
+	m.me = view.Peer{ID: string(id), Addr: m.o.Addr, Zone: m.o.Zone, Region: m.o.Region, Disk: m.o.Dir != "", Counted: m.o.Counted}
 	for key, to := range map[string]any{keyView: &m.view, keyVote: &m.vote, keyValue: &m.record} {
 		if raw, ok := m.store.Get(key); ok {
 			if err := decode(raw, to); err != nil {
@@ -376,6 +380,7 @@
 	m.inView = make(chan struct{})
 	m.notifyLocked()
 	event.ViewLearned.Log("view", v.Number, "chain", names(m.view))
+	m.reportShortfallLocked()
 	return nil
 }
 
--- a/internal/core/found.go
+++ b/internal/core/found.go
@@ -167,7 +167,7 @@
 	}
 	round := f.round
 	m.mu.Unlock()
-	first, ok := view.First(peers, m.o.Losses)
+	first, ok := view.First(peers, m.tolerance())
 	if !due || !ok {
 		return
 	}
--- a/internal/core/repair.go
+++ b/internal/core/repair.go
@@ -93,8 +93,25 @@
 	}
 }
 
+// tolerance is the losses that the core has to bear.
+func (m *Member) tolerance() view.Tolerance {
+	return view.Tolerance{Machines: m.o.Losses, Zones: m.o.ZoneLosses, Regions: m.o.RegionLosses}
+}
+
 func (m *Member) policy() view.Policy {
-	return view.Policy{Losses: m.o.Losses, Silent: silent, Settle: settle, Away: away}
+	return view.Policy{Tolerance: m.tolerance(), Silent: silent, Settle: settle, Away: away}
+}
+
+// reportShortfallLocked logs once what the voters of the view can't bear of the losses asked for.
+func (m *Member) reportShortfallLocked() {
+	short := m.view.Shortfall(m.tolerance())
+	if _, voter := m.view.Voter(m.me.ID); !voter || short == m.shortfall {
+		return
+	}
+	m.shortfall = short
+	if !short.None() {
+		event.ToleranceShort.Log("view", m.view.Number, "voters", len(m.view.Voters), "losses", short.String())
+	}
 }
 
 // healthLocked is what Plan needs to know.
--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -49,7 +49,7 @@
 	s.t.Helper()
 	p.until("the chain is whole again", func() bool {
 		v, _ := p.m.View()
-		return len(v.Chain) == min(len(v.Voters), view.Most(s.loss))
+		return len(v.Chain) == min(len(v.Voters), view.Most(view.Tolerance{Machines: s.loss}))
 	})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,8 +66,8 @@
 	f.Write([]byte(s.Name))
 	d.door = door.New(s, f.Sum64())
 	d.core, err = core.Open(core.Options{
-		Addr: addr, Zone: s.Zone, Dir: s.StateDir, HasDisk: s.Disk(), FirstStart: s.FirstStart,
-		Seeds: d.seeds, Known: d.known, Losses: s.Tolerance.Machines, Counted: s.Counted, Pool: d.pool,
+		Addr: addr, Zone: s.Zone, Region: s.Region, Dir: s.StateDir, HasDisk: s.Disk(), FirstStart: s.FirstStart,
+		Seeds: d.seeds, Known: d.known, Losses: s.Tolerance.Machines, ZoneLosses: s.Tolerance.Zones, RegionLosses: s.Tolerance.Regions, Counted: s.Counted, Pool: d.pool,
 		Check:    func(cur []byte, o *chain.Order) ([]byte, int64, error) { return conf.Next(cur, o.Patch, o.Body) },
 		OnCommit: func(v chain.Value) { d.hub.Commit(v.Seq, v.Body) },
 		OnView:   func(v view.View) {},
--- a/internal/event/table.go
+++ b/internal/event/table.go
@@ -29,17 +29,18 @@
 	BrokenOff ID = 310
 	Refused   ID = 320
 
-	DiskDamaged   ID = 400
-	DiskTorn      ID = 401
-	DiskRewritten ID = 402
-	DiskWaits     ID = 403
-	DiskWrite     ID = 404
-	ViewStep      ID = 410
-	ViewLearned   ID = 411
-	ViewOpen      ID = 412
-	ViewKeep      ID = 413
-	ValuesDiffer  ID = 420
-	CoreCall      ID = 430
+	DiskDamaged    ID = 400
+	DiskTorn       ID = 401
+	DiskRewritten  ID = 402
+	DiskWaits      ID = 403
+	DiskWrite      ID = 404
+	ViewStep       ID = 410
+	ViewLearned    ID = 411
+	ViewOpen       ID = 412
+	ViewKeep       ID = 413
+	ToleranceShort ID = 414
+	ValuesDiffer   ID = 420
+	CoreCall       ID = 430
 )
 
 var table = []Event{
@@ -78,6 +79,7 @@
 	{ViewLearned, "view learned", "", "nobody", control},
 	{ViewOpen, "view was not decided", "another proposer was first, or too few voters answered; it is tried again", "nobody", control},
 	{ViewKeep, "view could not be kept on disk", "the member acts by it once it is there", "on-call: look at the disk", always},
+	{ToleranceShort, "core can't bear all losses that the settings name", "`losses` tells how many fewer than `fault-tolerance` names: the voters' machines, zones or regions are too few for more", "operator: add machines of the core in other zones or regions", always},
 	{ValuesDiffer, "two members hold different values under one number", "this must not happen: a defect, or a damaged disk", "on-call: stop changes, `edgectl view` on all of the core, report it", always},
 	{CoreCall, "call between members of the core failed", "", "nobody", control},
 }
--- a/internal/view/plan.go
+++ b/internal/view/plan.go
@@ -20,168 +20,378 @@
 
 // Policy bounds the repair of a view.
 type Policy struct {
-	Losses int           // machine losses to be borne at once
-	Silent time.Duration // a silent member of the chain is dropped after
-	Settle time.Duration // a member that is back is believed after
-	Away   time.Duration // a voter may be swapped for a newcomer after
+	Tolerance Tolerance     // losses to be borne at once
+	Silent    time.Duration // a silent member of the chain is dropped after
+	Settle    time.Duration // a member that is back is believed after
+	Away      time.Duration // a voter may be swapped for a newcomer after
 }
 
 // Step is the next view that Plan wants and why.
 type Step struct {
-	View   *View // nil: finish what was left undecided
-	Why    string
-	Urgent bool          // an order may be waiting for it
-	Wait   time.Duration // for how long it has to be wanted
+	View    *View // nil: finish what was left undecided
+	Why     string
+	Urgent  bool          // an order may be waiting for it
+	Wait    time.Duration // for how long it has to be wanted
+	Removes string        // the voter that the step takes the vote from; "": none
 }
 
 // Plan is the next step of repair as me sees it, or none. health has an entry for each peer that
 // was ever heard, by its id; me's own is among them.
 func Plan(v View, me string, health map[string]Health, p Policy) (Step, bool) {
-	ok := func(id string) bool {
-		h, known := health[id]
-		return known && h.Silent < p.Silent && !h.Sick && !h.Ending && !replaced(v, id, health)
-	}
-	ready := func(id string) bool { return ok(id) && health[id].Well >= p.Settle }
-	hears := func(a, b string) bool { return slices.Contains(health[a].Hears, b) }
-	for _, voter := range v.Voters {
-		if h, known := health[voter.ID]; known && h.Pending && h.Silent < p.Silent {
-			return Step{Why: "finish a view that was left undecided", Urgent: true}, true
-		}
+	pl := &planner{view: v, health: health, policy: p}
+	if step, due := pl.finish(); due {
+		return step, true
 	}
-	// Members that hold the chain up, the first one first.
-	bad := func(i int) (why string, wait time.Duration) {
-		id := v.Chain[i].ID
-		switch h, known := health[id]; {
-		case replaced(v, id, health):
-			return "its disk was lost", 0
-		case !known || h.Silent >= p.Silent:
-			return "it is silent", 0
-		case h.Sick:
-			return "its disk is in trouble", 0
-		case h.Ending:
-			return "it is about to end", 0
-		}
-		if i > 0 && ready(id) {
-			// What a member tells of others is as old as its last word, and short after its start.
-			if before := v.Chain[i-1].ID; ready(before) && health[before].Up >= 2*p.Silent && !hears(before, id) {
-				return "its predecessor can't reach it", p.Settle
-			}
-		}
-		return "", 0
+	trouble := pl.troubles()
+	if step, due := pl.drop(trouble); due {
+		return step, true
 	}
-	whole := func(chain []Link) (n int) {
-		for _, l := range chain {
-			if ok(l.ID) && health[l.ID].Complete {
-				n++
-			}
+	if len(trouble) > 0 {
+		if step, due := pl.join("to the chain before another is dropped", true); due {
+			return step, true
 		}
-		return n
 	}
-	join := func() (string, bool) {
-		for _, l := range v.Chain {
-			if ok(l.ID) && !health[l.ID].Complete {
-				return "", false // one at a time
-			}
-		}
-		// The one whose zone has the fewest members.
-		best, least := "", 0
-		for _, q := range v.Voters {
-			if v.Place(q.ID) >= 0 || !ready(q.ID) {
-				continue
-			}
-			all, same := true, 0
-			for _, l := range v.Chain {
-				all = all && (!ok(l.ID) || hears(l.ID, q.ID) && hears(q.ID, l.ID))
-				if l.Zone == q.Zone {
-					same++
-				}
-			}
-			if all && (best == "" || same < least) {
-				best, least = q.ID, same
-			}
-		}
-		return best, best != ""
+	if step, due := pl.changeVoters(); due {
+		return step, true
+	}
+	if len(trouble) == 0 && pl.chainIsShort() {
+		return pl.join("to the chain", false)
+	}
+	return Step{}, false
+}
+
+// MayLeave tells whether a member that is about to end has nothing to wait for: it has no place in
+// the chain and its vote need not be handed over, or nobody is there that could take its place.
+func MayLeave(v View, me string, health map[string]Health, p Policy) bool {
+	pl := &planner{view: v, health: health, policy: p}
+	if v.Place(me) < 0 {
+		_, due := pl.handOverVote(pl.newcomers())
+		return !due
 	}
-	trouble := false
-	for i := range v.Chain {
-		why, wait := bad(i)
-		if why == "" {
+	for id, h := range health {
+		if id == me || h.Ending || h.Complete && pl.ok(id) {
 			continue
 		}
-		trouble = true
-		id := v.Chain[i].ID
-		if next := v.Drop(id); whole(next.Chain) >= v.Floor(p.Losses) && health[next.Chain[0].ID].Complete {
-			return Step{View: &next, Why: "drop " + id + " from the chain: " + why, Urgent: true, Wait: wait}, true
+		if _, voter := v.Voter(id); voter || pl.eligible(h.Peer) && h.Silent < p.Silent {
+			return false
 		}
 	}
-	if trouble {
-		// Too few would be left that hold everything: another member first.
-		if id, can := join(); can {
-			next := v.Join(id)
-			return Step{View: &next, Why: "add " + id + " to the chain before another is dropped", Urgent: true}, true
+	return true
+}
+
+// planner is what one call of Plan looks at.
+type planner struct {
+	view   View
+	health map[string]Health
+	policy Policy
+}
+
+// trouble is a member of the chain that is to be dropped.
+type trouble struct {
+	id     string
+	why    string
+	wait   time.Duration
+	ending bool // it still works
+}
+
+// ok tells whether a peer can be relied on now.
+func (pl *planner) ok(id string) bool {
+	h, known := pl.health[id]
+	return known && h.Silent < pl.policy.Silent && !h.Sick && !h.Ending && !pl.replaced(id)
+}
+
+// ready tells whether a peer has been well for long enough to be given a place.
+func (pl *planner) ready(id string) bool { return pl.ok(id) && pl.health[id].Well >= pl.policy.Settle }
+
+// hears tells whether a peer is in touch with another, by its own word.
+func (pl *planner) hears(id, other string) bool { return slices.Contains(pl.health[id].Hears, other) }
+
+// replaced tells whether another disk answers at a voter's address.
+func (pl *planner) replaced(id string) bool {
+	old, voter := pl.view.Voter(id)
+	if !voter {
+		return false
+	}
+	for other, h := range pl.health {
+		if other != id && h.Peer.Addr == old.Addr && h.Silent < pl.health[id].Silent {
+			return true
 		}
 	}
-	if step, can := newcomer(v, health, p, ready); can {
-		return step, true
+	return false
+}
+
+// located is a peer with the region that it tells, where its record is of a version without regions.
+func (pl *planner) located(p Peer) Peer {
+	if h, known := pl.health[p.ID]; known && p.Region == "" {
+		p.Region = h.Peer.Region
+	}
+	return p
+}
+
+// voters is the view's voters, located.
+func (pl *planner) voters() (out []Peer) {
+	for _, voter := range pl.view.Voters {
+		out = append(out, pl.located(voter))
+	}
+	return out
+}
+
+// members is the members of the chain that fit, located.
+func (pl *planner) members(fits func(id string) bool) (out []Peer) {
+	for _, l := range pl.view.Chain {
+		if fits(l.ID) {
+			out = append(out, pl.located(l.Peer))
+		}
 	}
-	if !trouble && len(v.Chain) < Most(p.Losses) {
-		if id, can := join(); can {
-			next := v.Join(id)
-			return Step{View: &next, Why: "add " + id + " to the chain"}, true
+	return out
+}
+
+// finish is the step that ends a decision which was left open.
+func (pl *planner) finish() (Step, bool) {
+	for _, voter := range pl.view.Voters {
+		if h, known := pl.health[voter.ID]; known && h.Pending && h.Silent < pl.policy.Silent {
+			return Step{Why: "finish a view that was left undecided", Urgent: true}, true
 		}
 	}
 	return Step{}, false
 }
 
-// replaced tells whether another disk answers at a voter's address.
-func replaced(v View, id string, health map[string]Health) bool {
-	old, is := v.Voter(id)
-	if !is {
+// troubles lists the members that hold the chain up, the first one first.
+func (pl *planner) troubles() (out []trouble) {
+	for i, l := range pl.view.Chain {
+		h, known := pl.health[l.ID]
+		switch {
+		case pl.replaced(l.ID):
+			out = append(out, trouble{id: l.ID, why: "its disk was lost"})
+		case !known || h.Silent >= pl.policy.Silent:
+			out = append(out, trouble{id: l.ID, why: "it is silent"})
+		case h.Sick:
+			out = append(out, trouble{id: l.ID, why: "its disk is in trouble"})
+		case h.Ending:
+			out = append(out, trouble{id: l.ID, why: "it is about to end", ending: true})
+		case pl.unreached(i):
+			out = append(out, trouble{id: l.ID, why: "its predecessor can't reach it", wait: pl.policy.Settle})
+		}
+	}
+	return out
+}
+
+// unreached tells whether a member's predecessor does not hear it. What a member tells of others is
+// as old as its last word, and short after its start.
+func (pl *planner) unreached(i int) bool {
+	if i == 0 || !pl.ready(pl.view.Chain[i].ID) {
 		return false
 	}
-	for other, h := range health {
-		if other != id && h.Peer.Addr == old.Addr && h.Silent < health[id].Silent {
-			return true
+	before := pl.view.Chain[i-1].ID
+	return pl.ready(before) && pl.health[before].Up >= 2*pl.policy.Silent && !pl.hears(before, pl.view.Chain[i].ID)
+}
+
+// drop is the step that leaves the first member out without which the floor stands.
+func (pl *planner) drop(troubles []trouble) (Step, bool) {
+	for _, bad := range troubles {
+		next := pl.view.Drop(bad.id)
+		if len(next.Chain) == 0 || !pl.health[next.Chain[0].ID].Complete {
+			continue
+		}
+		left := pl.members(func(id string) bool { return id != bad.id && pl.ok(id) && pl.health[id].Complete })
+		if SpreadOf(left).Covers(pl.floorWithout(bad)) {
+			return Step{View: &next, Why: "drop " + bad.id + " from the chain: " + bad.why, Urgent: true, Wait: bad.wait}, true
 		}
 	}
-	return false
+	return Step{}, false
 }
 
-// newcomer is the step that gives a vote to a peer without one.
-func newcomer(v View, health map[string]Health, p Policy, ready func(string) bool) (Step, bool) {
-	counted := slices.ContainsFunc(v.Voters, func(q Peer) bool { return q.Counted })
-	var came []Peer
-	for id, h := range health {
-		inChain := slices.ContainsFunc(v.Chain, func(l Link) bool { return l.Addr == h.Peer.Addr })
-		if _, is := v.Voter(id); !is && !inChain && ready(id) && (h.Peer.Disk || v.Memory) && (h.Peer.Counted || !counted) {
-			came = append(came, h.Peer)
+// floorWithout is the spread that complete copies must have once a member is dropped. Beyond the
+// view's floor it asks for the zones and regions that other machines can hold it in right now; for a
+// member that still works, newcomers count as such too.
+func (pl *planner) floorWithout(bad trouble) Spread {
+	tolerance := pl.policy.Tolerance
+	floor := View{Voters: pl.voters()}.Floor(tolerance)
+	holders := pl.members(func(id string) bool { return id != bad.id && pl.ok(id) })
+	holders = append(holders, pl.joinable()...)
+	if bad.ending {
+		holders = append(holders, pl.newcomers()...)
+	}
+	possible := SpreadOf(holders)
+	floor.Zones = max(floor.Zones, min(tolerance.Zones+1, possible.Zones))
+	floor.Regions = max(floor.Regions, min(tolerance.Regions+1, possible.Regions))
+	return floor
+}
+
+// joinable lists the voters outside of the chain that are in touch with all of its healthy members.
+func (pl *planner) joinable() []Peer {
+	return filter(pl.voters(), func(p Peer) bool {
+		if pl.view.Place(p.ID) >= 0 || !pl.ready(p.ID) {
+			return false
 		}
+		return !slices.ContainsFunc(pl.view.Chain, func(l Link) bool {
+			return pl.ok(l.ID) && !(pl.hears(l.ID, p.ID) && pl.hears(p.ID, l.ID))
+		})
+	})
+}
+
+// join is the step that adds a voter to the chain, one at a time, of the region and then the zone
+// that has fewest members.
+func (pl *planner) join(why string, urgent bool) (Step, bool) {
+	healthy := pl.members(pl.ok)
+	if slices.ContainsFunc(healthy, func(p Peer) bool { return !pl.health[p.ID].Complete }) {
+		return Step{}, false
 	}
-	if len(came) == 0 {
+	joinable := pl.joinable()
+	if len(joinable) == 0 {
 		return Step{}, false
 	}
+	all := pl.members(func(string) bool { return true })
+	id := joinable[leastLoaded(all, joinable, pl.policy.Tolerance.Regions > 0)].ID
+	next := pl.view.Join(id)
+	return Step{View: &next, Why: "add " + id + " " + why, Urgent: urgent}, true
+}
+
+// chainIsShort tells whether the chain is to grow: in length, or to zones and regions that it lacks.
+func (pl *planner) chainIsShort() bool {
+	tolerance := pl.policy.Tolerance
+	if len(pl.view.Chain) < Most(tolerance) {
+		return true
+	}
+	now := SpreadOf(pl.members(func(string) bool { return true }))
+	could := SpreadOf(append(pl.members(pl.ok), pl.joinable()...))
+	return now.Zones < min(tolerance.Zones+1, could.Zones) || now.Regions < min(tolerance.Regions+1, could.Regions)
+}
+
+// changeVoters is the step that gives a newcomer a vote, or ends the vote of one that leaves.
+func (pl *planner) changeVoters() (Step, bool) {
+	came := pl.newcomers()
+	for _, step := range []func([]Peer) (Step, bool){pl.swapLostDisk, pl.handOverVote, pl.swapAbsent, pl.admit} {
+		if step, due := step(came); due {
+			return step, true
+		}
+	}
+	return Step{}, false
+}
+
+// eligible tells whether a peer may have a vote and has none.
+func (pl *planner) eligible(p Peer) bool {
+	_, voter := pl.view.Voter(p.ID)
+	counted := slices.ContainsFunc(pl.view.Voters, func(q Peer) bool { return q.Counted })
+	return !voter && (p.Disk || pl.view.Memory) && (p.Counted || !counted)
+}
+
+// newcomers lists the peers without a vote that are ready for one, by id. A machine whose old disk
+// still has a place in the chain waits until that is dropped.
+func (pl *planner) newcomers() (came []Peer) {
+	for id, h := range pl.health {
+		inChain := slices.ContainsFunc(pl.view.Chain, func(l Link) bool { return l.Addr == h.Peer.Addr })
+		if !inChain && pl.eligible(h.Peer) && pl.ready(id) {
+			came = append(came, h.Peer)
+		}
+	}
 	slices.SortFunc(came, byID)
+	return came
+}
+
+// swapLostDisk gives the vote of a lost disk to the new one of the same machine.
+func (pl *planner) swapLostDisk(came []Peer) (Step, bool) {
 	for _, c := range came {
-		for _, q := range v.Voters {
-			if q.Addr == c.Addr && v.Place(q.ID) < 0 {
-				next := v.Swap(q.ID, c)
-				return Step{View: &next, Why: "swap " + q.ID + " for " + c.ID + ", the new disk of its machine"}, true
+		for _, q := range pl.view.Voters {
+			if q.Addr == c.Addr && pl.view.Place(q.ID) < 0 {
+				return pl.swap(q.ID, c, ", the new disk of its machine"), true
 			}
 		}
 	}
-	absent := ""
-	for _, q := range v.Voters {
-		if h, known := health[q.ID]; !known || h.Silent >= p.Silent {
-			if absent = q.ID; (!known || h.Silent >= p.Away) && v.Place(q.ID) < 0 {
-				next := v.Swap(q.ID, came[0])
-				return Step{View: &next, Why: "swap " + q.ID + ", which stays away, for " + came[0].ID}, true
-			}
+	return Step{}, false
+}
+
+// handOverVote gives the vote of a voter that is about to end to a newcomer, or retires it where the
+// voters that stay bear more without it.
+func (pl *planner) handOverVote(came []Peer) (Step, bool) {
+	for _, q := range pl.voters() {
+		h, known := pl.health[q.ID]
+		if !known || !h.Ending || h.Silent >= pl.policy.Silent || pl.view.Place(q.ID) >= 0 {
+			continue
+		}
+		if c, can := pl.substitute(q, came); can {
+			return pl.swap(q.ID, c, ", as it is about to end"), true
+		}
+		if pl.retires(q.ID) {
+			next := pl.view.Retire(q.ID)
+			return Step{View: &next, Why: "retire " + q.ID + ", which is about to end", Removes: q.ID}, true
 		}
 	}
-	// More voters only while all are there: with one away they would raise the majority.
-	if absent == "" && len(v.Voters) < MaxVoters {
-		next := v.Admit(came[0])
-		return Step{View: &next, Why: "admit " + came[0].ID + " as a voter"}, true
+	return Step{}, false
+}
+
+// retires tells whether the voters that are present bear strictly more without the vote of one that
+// leaves, and the floor of the copies stays what it is.
+func (pl *planner) retires(id string) bool {
+	tolerance := pl.policy.Tolerance
+	all := pl.voters()
+	present := filter(all, func(p Peer) bool { return p.ID != id && pl.ok(p.ID) })
+	rest := filter(all, func(p Peer) bool { return p.ID != id })
+	if len(rest) == 0 || (View{Voters: rest}).Floor(tolerance) != (View{Voters: all}).Floor(tolerance) {
+		return false
+	}
+	return tolerance.shortfall(present, len(rest)).Less(tolerance.shortfall(present, len(all)))
+}
+
+// swapAbsent gives the vote of a voter that stays away to a newcomer.
+func (pl *planner) swapAbsent(came []Peer) (Step, bool) {
+	for _, q := range pl.voters() {
+		h, known := pl.health[q.ID]
+		if known && h.Silent < pl.policy.Away || pl.view.Place(q.ID) >= 0 {
+			continue
+		}
+		if c, can := pl.substitute(q, came); can {
+			return pl.swap(q.ID, c, ", as it stays away"), true
+		}
 	}
 	return Step{}, false
 }
+
+// substitute is the newcomer in whose place the voters bear most, if they bear no less than with the
+// old one; of equal ones that of the same zone, then that of the zone with fewest voters.
+func (pl *planner) substitute(old Peer, came []Peer) (Peer, bool) {
+	tolerance := pl.policy.Tolerance
+	all := pl.voters()
+	rest := filter(all, func(p Peer) bool { return p.ID != old.ID })
+	least := tolerance.shortfall(all, len(all))
+	var best []Peer
+	for _, c := range came {
+		short := tolerance.shortfall(append(slices.Clone(rest), c), len(all))
+		switch {
+		case short.Less(least):
+			best, least = []Peer{c}, short
+		case short == least:
+			best = append(best, c)
+		}
+	}
+	if len(best) == 0 {
+		return Peer{}, false
+	}
+	if i := slices.IndexFunc(best, func(c Peer) bool { return zoneOf(c) == zoneOf(old) }); i >= 0 {
+		return best[i], true
+	}
+	return best[leastLoaded(rest, best, tolerance.Regions > 0)], true
+}
+
+// admit gives a newcomer a vote of its own, only while all voters are there: with one away it would
+// raise the majority. One that is about to end counts as away once it has left the chain; before
+// that the chain may need the newcomer.
+func (pl *planner) admit(came []Peer) (Step, bool) {
+	for _, q := range pl.view.Voters {
+		h, known := pl.health[q.ID]
+		if !known || h.Silent >= pl.policy.Silent || h.Ending && pl.view.Place(q.ID) < 0 {
+			return Step{}, false
+		}
+	}
+	more := extend(pl.voters(), came, pl.policy.Tolerance)
+	if len(more) == 0 {
+		return Step{}, false
+	}
+	next := pl.view.Admit(more[0])
+	return Step{View: &next, Why: "admit " + more[0].ID + " as a voter"}, true
+}
+
+func (pl *planner) swap(old string, c Peer, why string) Step {
+	next := pl.view.Swap(old, c)
+	return Step{View: &next, Why: "swap " + old + " for " + c.ID + why, Removes: old}
+}
--- a/internal/view/plan_test.go
+++ b/internal/view/plan_test.go
@@ -8,7 +8,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-var policy = Policy{Losses: 1, Silent: 600 * time.Millisecond, Settle: 300 * time.Millisecond, Away: 2 * time.Second}
+var policy = Policy{Tolerance: Tolerance{Machines: 1}, Silent: 600 * time.Millisecond, Settle: 300 * time.Millisecond, Away: 2 * time.Second}
+
+func machineLosses(n int) Tolerance { return Tolerance{Machines: n} }
 
 func machine(name string) Peer {
 	return Peer{ID: name, Addr: name + ":1", Zone: name[:1], Disk: true, Counted: true}
@@ -23,12 +25,13 @@
 
 // scene is a view with machines that are all well.
 type scene struct {
-	v      View
-	health map[string]Health
+	v         View
+	health    map[string]Health
+	tolerance *Tolerance // nil: that of policy
 }
 
 func newScene(t *testing.T, names string) *scene {
-	v, ok := First(peers(names), 9)
+	v, ok := First(peers(names), machineLosses(9))
 	require.True(t, ok)
 	s := &scene{v: v, health: map[string]Health{}}
 	for _, p := range v.Voters {
@@ -58,6 +61,14 @@
 	return s.with(id, func(h *Health) { h.Silent, h.Well = d, 0 })
 }
 
+func (s *scene) policy() Policy {
+	p := policy
+	if s.tolerance != nil {
+		p.Tolerance = *s.tolerance
+	}
+	return p
+}
+
 // take takes the planned step as decided.
 func (s *scene) take(t *testing.T, step Step) {
 	t.Helper()
@@ -82,7 +93,7 @@
 
 func (s *scene) plan(t *testing.T) (Step, bool) {
 	t.Helper()
-	return Plan(s.v, s.v.Voters[0].ID, s.health, policy)
+	return Plan(s.v, s.v.Voters[0].ID, s.health, s.policy())
 }
 
 // next has the next step taken and compares the chain after it.
@@ -115,13 +126,23 @@
 		t.Run(name, func(t *testing.T) {
 			s := newScene(t, "a b c d").with("a", change)
 			require.True(t, s.next(t, "b c d").Urgent)
+			if name == "ending" { // three voters bear a loss, four of which one is away don't
+				require.Equal(t, "a", s.next(t, "b c d").Removes)
+				require.Equal(t, peers("b c d"), s.v.Voters)
+			}
 			s.nothing(t)
 			s.with("a", func(h *Health) {
 				*h = Health{Peer: machine("a"), Well: 200 * time.Millisecond, Hears: []string{"b", "c", "d"}}
 			})
 			s.nothing(t)
 			s.with("a", func(h *Health) { h.Well = 300 * time.Millisecond })
+			if name == "ending" {
+				s.next(t, "b c d")
+				require.Equal(t, peers("a b c d"), s.v.Voters)
+			}
 			s.next(t, "b c d a")
+			s.with("a", func(h *Health) { h.Complete = true })
+			s.nothing(t)
 		})
 	}
 }
@@ -180,7 +201,7 @@
 // Beyond what the losses ask for, voters stand by; the one of the zone that has least goes first.
 func TestVotersStandBy(t *testing.T) {
 	s := &scene{health: map[string]Health{}}
-	s.v, _ = First(peers("a1 a2 a3 b1 b2 b3"), 1)
+	s.v, _ = First(peers("a1 a2 a3 b1 b2 b3"), machineLosses(1))
 	for _, p := range s.v.Voters {
 		s.comes(p)
 	}
@@ -266,12 +287,12 @@
 }
 
 func TestFirstView(t *testing.T) {
-	_, ok := First(nil, 1)
+	_, ok := First(nil, machineLosses(1))
 	require.False(t, ok)
 
 	loose := machine("z")
 	loose.Disk = false
-	v, ok := First(append(peers("c a b"), loose), 1)
+	v, ok := First(append(peers("c a b"), loose), machineLosses(1))
 	require.True(t, ok)
 	require.NoError(t, v.Check())
 	require.Equal(t, peers("a b c"), v.Voters)
@@ -280,23 +301,23 @@
 	require.Equal(t, "a", v.Head().ID)
 	require.Equal(t, "c", v.Tail().ID)
 
-	v, _ = First([]Peer{loose}, 1)
+	v, _ = First([]Peer{loose}, machineLosses(1))
 	require.True(t, v.Memory)
 
 	uncounted := machine("b")
 	uncounted.Counted = false
-	v, _ = First([]Peer{machine("a"), uncounted}, 1)
+	v, _ = First([]Peer{machine("a"), uncounted}, machineLosses(1))
 	require.Equal(t, peers("a"), v.Voters)
 
 	// Of many, each zone gives its part.
-	v, _ = First(peers("a1 a2 a3 a4 a5 a6 a7 a8 b1 b2 b3 b4 b5 c1 c2 c3"), 2)
+	v, _ = First(peers("a1 a2 a3 a4 a5 a6 a7 a8 b1 b2 b3 b4 b5 c1 c2 c3"), machineLosses(2))
 	require.Equal(t, peers("a1 a2 a3 b1 b2 b3 c1 c2 c3"), v.Voters)
 	s := &scene{v: v}
 	require.Equal(t, "a1 a2 b1 b2 c1", s.chain(), "and to the chain, which is not longer than losses ask for")
 }
 
 func TestImproperViewsAreRefused(t *testing.T) {
-	good, _ := First(peers("a b c"), 1)
+	good, _ := First(peers("a b c"), machineLosses(1))
 	for name, change := range map[string]func(v *View){
 		"no number":          func(v *View) { v.Number = 0 },
 		"no voters":          func(v *View) { v.Voters = nil },
@@ -318,7 +339,7 @@
 }
 
 func TestProposal(t *testing.T) {
-	base, _ := First(peers("a b c"), 1)
+	base, _ := First(peers("a b c"), machineLosses(1))
 	own, others := base.Drop("a"), base.Drop("c")
 	b := Ballot{Round: 2, By: "a/1"}
 	t.Run("own view", func(t *testing.T) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -16,10 +16,12 @@
 //   - the head of the next view is a complete member of the chain before, so it refuses older
 //     words from the moment on at which it knows the next view, and what it holds then is all that
 //     was or can be acknowledged in the older one;
-//   - a drop leaves at least Floor members that are healthy and hold everything.
+//   - a drop leaves healthy members that hold everything and cover Floor: not all of them are lost
+//     with any loss that Tolerance names, as far as the voters' zones and regions allow it.
 //
-// Not guaranteed: that a majority exists. Voters are never just removed, as that would let a
-// minority become a majority step by step; one that stays away is swapped for a newcomer.
+// Not guaranteed: that a majority exists. A voter that is away is never just removed, as that would
+// let a minority become a majority step by step: it is swapped for a newcomer. One that says itself
+// that it is about to end is swapped, or retired where fewer voters bear more.
 package view
 
 import (
@@ -31,7 +33,7 @@
 const (
 	// MaxVoters bounds the voters of a view.
 	MaxVoters = 9
-	maxText   = 128 // bytes of an id, an address or a zone
+	maxText   = 128 // bytes of an id, an address, a zone or a region
 )
 
 // Peer is one machine of the core, known by the id of its disk: a lost disk comes back as another
@@ -40,6 +42,7 @@
 	ID      string `msgpack:"i"` // random, made with the disk's first file
 	Addr    string `msgpack:"a"` // HOST:PORT at which its agent is called
 	Zone    string `msgpack:"z"`
+	Region  string `msgpack:"r,omitempty"` // "" in records of versions that did not keep it
 	Disk    bool   `msgpack:"d,omitempty"` // what it has promised outlives its process
 	Counted bool   `msgpack:"c,omitempty"` // its loss is one of those to be borne
 }
@@ -80,7 +83,7 @@
 		return errors.Errorf("view %d has %d voters and a chain of %d", v.Number, len(v.Voters), len(v.Chain))
 	}
 	for i, p := range v.Voters {
-		if p.ID == "" || p.Addr == "" || len(p.ID) > maxText || len(p.Addr) > maxText || len(p.Zone) > maxText {
+		if p.ID == "" || p.Addr == "" || len(p.ID) > maxText || len(p.Addr) > maxText || len(p.Zone) > maxText || len(p.Region) > maxText {
 			return errors.Errorf("view %d: voter %d lacks an id or an address, or one is too long", v.Number, i)
 		}
 		if i > 0 && v.Voters[i-1].ID >= p.ID {
@@ -130,56 +133,6 @@
 	return v.Chain[i+1], true
 }
 
-// Floor is how many members with everything a chain keeps while losses are to be borne.
-func (v View) Floor(losses int) int { return max(1, min(losses+1, len(v.Voters))) }
-
-// Most is how long a chain grows. Each member more is one more sync on the way of an order, and one
-// more machine whose trouble holds it up; the voters beside it are there to take a place.
-func Most(losses int) int { return max(1, losses+3) }
-
-// First is view 1 of the peers that were found, at most MaxVoters of them. Peers with a disk go
-// first and then those whose loss is counted; without any disk the state is kept in memory.
-func First(found []Peer, losses int) (View, bool) {
-	disks := slices.DeleteFunc(slices.Clone(found), func(p Peer) bool { return !p.Disk })
-	v := View{Number: 1, Memory: len(disks) == 0}
-	pool := disks
-	if v.Memory {
-		pool = slices.Clone(found)
-	}
-	if counted := slices.DeleteFunc(slices.Clone(pool), func(p Peer) bool { return !p.Counted }); len(counted) > 0 {
-		pool = counted
-	}
-	if len(pool) == 0 {
-		return View{}, false
-	}
-	slices.SortFunc(pool, byID)
-	v.Voters = spread(pool, MaxVoters)
-	members := spread(slices.Clone(v.Voters), Most(losses))
-	slices.SortFunc(v.Voters, byID)
-	slices.SortFunc(members, byID)
-	for _, p := range members {
-		v.Chain = append(v.Chain, Link{Peer: p, Since: 1})
-	}
-	return v, true
-}
-
-// spread picks up to n peers, each time from a zone that has given least.
-func spread(pool []Peer, n int) (out []Peer) {
-	given := map[string]int{}
-	for len(out) < n && len(pool) > 0 {
-		best := 0
-		for i, p := range pool {
-			if given[p.Zone] < given[pool[best].Zone] {
-				best = i
-			}
-		}
-		given[pool[best].Zone]++
-		out = append(out, pool[best])
-		pool = slices.Delete(pool, best, best+1)
-	}
-	return out
-}
-
 func byID(a, b Peer) int {
 	switch {
 	case a.ID < b.ID:
@@ -228,3 +181,10 @@
 	slices.SortFunc(n.Voters, byID)
 	return n
 }
+
+// Retire is the next view without a voter; it must not be in the chain.
+func (v View) Retire(id string) View {
+	n := v.next()
+	n.Voters = slices.DeleteFunc(n.Voters, func(q Peer) bool { return q.ID == id })
+	return n
+}
