Let a member go only once the others can do without it

Cause: a handover gave up after half a second in which nothing could be planned, also while the chain was one complete copy short and another member was joining. A member that was out of the chain left its vote behind. And the view that ended its part could be known to itself alone when its process went: the others had accepted it and needed its vote to find that out.

Change: Handover waits, with its context, as long as another member is joining, may join or may come back (view.MayLeave); it goes on until the vote is handed over, and until the voters of the newest view have learned it (teachAndWait; a majority, where some don't answer).

Tests on real members over loopback: a loss right after a planned replacement, replacements in a row with a loss after each, a newcomer that dies before the old member ends, a leaving member that holds one of too few copies, the only copy of a core of one, four voters cut in halves.

--- a/internal/core/repair.go
+++ b/internal/core/repair.go
@@ -247,34 +247,32 @@
 	})
 }
 
-// Handover has this member left out of the chain, where the others are enough, before the process
-// ends. It returns once it is out, when nothing can be done, or with ctx.
+// handoverTries is how many looks in a row that offer nothing to do or to wait for end a handover.
+const handoverTries = 10
+
+// Handover has this member left out of the chain and its vote handed over, where the others are
+// enough, before the process ends. While the others are too few it waits for one that is joining or
+// may come back. It returns once this member is out and the others have learned it, when there is
+// nothing to wait for, or with ctx.
 func (m *Member) Handover(ctx context.Context) {
 	m.mu.Lock()
 	m.ending = true
 	v := m.view
 	m.mu.Unlock()
-	if _, voter := v.Voter(m.me.ID); voter {
-		m.tellEnding(ctx, v)
+	if _, voter := v.Voter(m.me.ID); !voter {
+		return
 	}
-	for idle := 0; ctx.Err() == nil && idle < 10; {
-		m.mu.Lock()
-		now := time.Now()
-		out := m.view.Number == 0 || m.view.Place(m.me.ID) < 0
-		changed := m.changed
-		if !out && m.majorityLocked(now) && !m.proposing {
-			if step, due := view.Plan(m.view, m.me.ID, m.healthLocked(now), m.policy()); due {
-				m.proposeLocked(step)
-				idle = 0
-			} else {
-				idle++
-			}
-		} else if !m.proposing {
-			idle++
-		}
-		m.mu.Unlock()
-		if out {
+	m.tellEnding(ctx, v)
+	for idle := 0; ctx.Err() == nil && idle < handoverTries; {
+		changed, state := m.handOver(time.Now())
+		switch state {
+		case handedOver:
+			m.teachAndWait(ctx)
 			return
+		case handoverWaits:
+			idle = 0
+		case handoverStuck:
+			idle++
 		}
 		t := time.NewTimer(tick / 2)
 		select {
@@ -286,6 +284,92 @@
 	}
 }
 
+// handoverState is how far a handover is.
+type handoverState uint8
+
+const (
+	handedOver    handoverState = iota // the others don't need this member
+	handoverWaits                      // a step is under way, or another member may take the place
+	handoverStuck                      // nothing can be done
+)
+
+// handOver proposes the next step of a handover. What it returns is closed with the next change.
+func (m *Member) handOver(now time.Time) (<-chan struct{}, handoverState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, voter := m.view.Voter(m.me.ID); !voter {
+		return m.changed, handedOver
+	}
+	if m.proposing {
+		return m.changed, handoverWaits
+	}
+	health := m.healthLocked(now)
+	inChain := m.view.Place(m.me.ID) >= 0
+	mayLeave := view.MayLeave(m.view, m.me.ID, health, m.policy())
+	if !inChain && mayLeave {
+		return m.changed, handedOver
+	}
+	if m.majorityLocked(now) && !now.Before(m.notBefore) {
+		step, due := view.Plan(m.view, m.me.ID, health, m.policy())
+		if due && (inChain || step.View == nil || step.Removes == m.me.ID) {
+			m.proposeLocked(step)
+			return m.changed, handoverWaits
+		}
+	}
+	if inChain && !mayLeave {
+		return m.changed, handoverWaits
+	}
+	return m.changed, handoverStuck
+}
+
+// teachAndWait has the voters of the newest view learn it. Until they have, the decision may be known
+// to this process alone, and its vote would be needed to find it out. Voters that don't answer are
+// asked again, and given up once a majority has learned.
+func (m *Member) teachAndWait(ctx context.Context) {
+	m.mu.Lock()
+	v := m.view.Clone()
+	m.mu.Unlock()
+	missing := m.teachOnce(ctx, v, v.Voters)
+	for len(missing) > 0 && ctx.Err() == nil {
+		missing = m.teachOnce(ctx, v, missing)
+		if len(v.Voters)-len(missing) >= v.Majority() {
+			return
+		}
+		t := time.NewTimer(tick)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// teachOnce tells a view to voters and returns those that did not take it.
+func (m *Member) teachOnce(ctx context.Context, v view.View, voters []view.Peer) (missing []view.Peer) {
+	ctx, cancel := context.WithTimeout(ctx, callWait)
+	defer cancel()
+	learned := make([]bool, len(voters))
+	var told sync.WaitGroup
+	for i, to := range voters {
+		if learned[i] = to.ID == m.me.ID; learned[i] {
+			continue
+		}
+		told.Add(1)
+		go func() {
+			defer told.Done()
+			_, err := call[view.View, none](ctx, m, to.Addr, "core.learn", &v)
+			learned[i] = err == nil // one that did not is asked again
+		}()
+	}
+	told.Wait()
+	for i, to := range voters {
+		if !learned[i] {
+			missing = append(missing, to)
+		}
+	}
+	return missing
+}
+
 // tellEnding has the others know that this member is ending before it is left out, so that none
 // adds it again.
 func (m *Member) tellEnding(ctx context.Context, v view.View) {
