Remember 1,024 taken orders, and never refuse one that may be forgotten

Change: beside the last 64 digests a value carries up to 960 older ones in a compact encoding (8 bytes of the digest, the step of the revision as a variable-length integer). An order that builds on a revision from before the memory is left unclear, with the remedy in its reason, and marked final, so that no process tries it again until its time is out. What the same order is, is said at Order.Digest. Records of the former format are read; a process of the former version drops the older digests, which leaves such orders unclear and refuses none. The simulation plays short memories, and its defect of forgetting is now a head that refuses what it may have forgotten. The history of core repeats orders at other agents.

--- a/internal/chain/bench_test.go
+++ b/internal/chain/bench_test.go
@@ -6,6 +6,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/lab/sample"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // One change of a route at the head, by the size of the configuration, up to what goes to the disk.
@@ -34,3 +35,45 @@
 		})
 	}
 }
+
+// remembering is a value of a configuration of about 20 KB whose memory is full.
+func remembering(b *testing.B) *Value {
+	value := &Value{}
+	body := sample.Config(1, sample.Size{Routes: 60, Services: 6, Tenants: 20})
+	check := func(_ []byte, o *Order) ([]byte, int64, error) { return body, o.IfMatch + 1, nil }
+	for range MaxPast + MaxOlder {
+		next, _, final := Apply(value, &Order{IfMatch: value.Revision}, check)
+		if final {
+			b.Fatal("refused")
+		}
+		value = next
+	}
+	return value
+}
+
+// What a push carries and costs to encode, and what the memory adds to a change.
+func BenchmarkMemory(b *testing.B) {
+	value := remembering(b)
+	check := func(cur []byte, o *Order) ([]byte, int64, error) { return cur, o.IfMatch + 1, nil }
+	b.Run("encode", func(b *testing.B) {
+		raw, err := msgpack.Marshal(&Push{Value: *value})
+		if err != nil {
+			b.Fatal(err)
+		}
+		for b.Loop() {
+			if _, err := msgpack.Marshal(&Push{Value: *value}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(len(value.Body)), "B/configuration")
+		b.ReportMetric(float64(len(raw)), "B/push")
+	})
+	b.Run("change", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if next, _, _ := Apply(value, &Order{IfMatch: value.Revision, Body: []byte("new")}, check); next == nil {
+				b.Fatal("refused")
+			}
+		}
+	})
+}
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -17,7 +17,8 @@
 //   - a value that came directly makes a joiner complete even while a member before it is dead. It
 //     is no answer for readers, and gives way to whatever comes along the chain of the same view;
 //   - of two orders on one version at most one is committed, and an order that was committed is
-//     known by its digest as taken while it is among the last MaxPast.
+//     known by its digest as taken while it is among the last MaxPast + MaxOlder. An order on a
+//     revision from before those is left unclear, never refused.
 //
 // Not guaranteed: that an order without an answer is dropped. It may be committed with the first
 // push of the next head, or be given up with the head's value where no member of the next chain
@@ -32,31 +33,23 @@
 	"github.com/go-faster/errors"
 )
 
-const (
-	// MaxPast is how many taken orders a value remembers.
-	MaxPast = 64
-	// MaxBody bounds the body of a value or an order, in bytes.
-	MaxBody = 6 << 20
-)
+// MaxBody bounds the body of a value or an order, in bytes.
+const MaxBody = 6 << 20
 
 // Digest tells one order from another.
 type Digest [16]byte
 
-// PastOrder is an order that was taken, and the revision that it led to.
-type PastOrder struct {
-	Digest   Digest
-	Revision int64
-}
-
 // Value is the register. Seq counts committed orders; 0 is the empty register.
 type Value struct {
 	Seq      uint64
 	Revision int64
 	Body     []byte      // immutable
 	Past     []PastOrder // the last MaxPast taken, oldest first; immutable
+	Older    []byte      `msgpack:",omitempty"` // up to MaxOlder taken before those, encoded; immutable
 }
 
-// Sum tells one value from another of the same Seq.
+// Sum tells one value from another of the same Seq. Older is left out of it: a process that does
+// not know it yet drops it, and its copy is as good.
 func (v *Value) Sum() uint64 {
 	h := sha256.New()
 	var n [16]byte
@@ -70,22 +63,12 @@
 	return binary.BigEndian.Uint64(h.Sum(nil))
 }
 
-// Took tells the revision that an order led to, if it is one of those remembered.
-func (v *Value) Took(d Digest) (revision int64, ok bool) {
-	for _, p := range v.Past {
-		if p.Digest == d {
-			return p.Revision, true
-		}
-	}
-	return 0, false
-}
-
 // Check refuses a value that no head can have made.
 func (v *Value) Check() error {
-	if len(v.Body) > MaxBody || len(v.Past) > MaxPast || v.Revision < 0 || (v.Seq == 0) != (len(v.Past) == 0) {
-		return errors.Errorf("value %d has %d bytes, revision %d and %d past orders", v.Seq, len(v.Body), v.Revision, len(v.Past))
+	if len(v.Body) > MaxBody || v.Revision < 0 {
+		return errors.Errorf("value %d has %d bytes and revision %d", v.Seq, len(v.Body), v.Revision)
 	}
-	return nil
+	return v.checkMemory()
 }
 
 // Record is what a member keeps on disk.
@@ -102,7 +85,9 @@
 	Body    []byte
 }
 
-// Digest is the same for the same order.
+// Digest is the same for the same order: one with the same bytes in its body, on the same revision
+// (If-Match) and by the same method (PUT or PATCH). Other white space or another order of keys make
+// another order, even where the configuration would be the same.
 func (o *Order) Digest() (d Digest) {
 	h := sha256.New()
 	head := make([]byte, 9)
@@ -139,8 +124,13 @@
 	Kind     Kind
 	Revision int64  // Taken: the one it led to; Conflict: the current one
 	Reason   string // Invalid: what is wrong; Unclear: what failed
+	Final    bool   // Unclear: the same order gets the same answer again, at any process
 }
 
+// unknownOrder is the reason of an Unclear verdict on an order that may be one of the forgotten.
+const unknownOrder = "the order builds on a revision so old that it may have been taken and forgotten since: " +
+	"read the configuration again, and send the order on its newest revision if the change is not in it"
+
 // Apply checks an order against the current value. Without a final verdict, next is the value to
 // commit for it.
 func Apply(cur *Value, o *Order, check Check) (next *Value, v Verdict, final bool) {
@@ -149,6 +139,9 @@
 		return nil, Verdict{Kind: Taken, Revision: rev}, true
 	}
 	if o.IfMatch != cur.Revision {
+		if cur.mayHaveTaken(o.IfMatch) {
+			return nil, Verdict{Reason: unknownOrder, Final: true}, true
+		}
 		return nil, Verdict{Kind: Conflict, Revision: cur.Revision}, true
 	}
 	body, rev, err := check(cur.Body, o)
@@ -158,8 +151,8 @@
 	if err != nil {
 		return nil, Verdict{Kind: Invalid, Revision: cur.Revision, Reason: err.Error()}, true
 	}
-	past := append([]PastOrder(nil), cur.Past[max(0, len(cur.Past)-MaxPast+1):]...)
-	return &Value{Seq: cur.Seq + 1, Revision: rev, Body: body, Past: append(past, PastOrder{d, rev})}, Verdict{Kind: Taken, Revision: rev}, false
+	past, older := cur.remember(PastOrder{d, rev})
+	return &Value{Seq: cur.Seq + 1, Revision: rev, Body: body, Past: past, Older: older}, Verdict{Kind: Taken, Revision: rev}, false
 }
 
 // Replica is one member's part in the chain: what is on its disk. A change counts once it is there.
--- a/internal/chain/sim_test.go
+++ b/internal/chain/sim_test.go
@@ -24,7 +24,7 @@
 	dropWhole             // a chain may be cut to members that do not hold everything
 	staleTail             // a new tail answers before the head's value came through
 	refuseUnasked         // a head refuses without a majority
-	forgetPast            // values do not remember the orders that were taken
+	forgetPast            // a head refuses orders that it may have taken and forgotten
 	idOutlivesDisk        // a machine whose disk was lost votes on as before
 	overwrite             // members take older values of their view
 	learnInMemory         // views are not kept on disk
@@ -62,6 +62,7 @@
 	power   int // the power goes at one write in so many
 	views   int // steps of the view in a hundred
 	cutting int // one turn in so many, a machine is cut off or frozen
+	memory  int // how many taken orders a value remembers
 }
 
 type fate struct{ taken, refused bool }
@@ -141,7 +142,7 @@
 	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), defect: d, decided: map[uint64]view.View{}, committed: map[uint64]chain.Value{},
 		orders: map[chain.Digest]*fate{}}
 	pick := func(of ...int) int { return of[s.rng.IntN(len(of))] }
-	s.style = style{late: pick(0, 1, 2), losing: pick(5, 12, 60), power: pick(30, 60, 400), views: pick(1, 3, 6), cutting: pick(4, 16)}
+	s.style = style{late: pick(0, 1, 2), losing: pick(5, 12, 60), power: pick(30, 60, 400), views: pick(1, 3, 6), cutting: pick(4, 16), memory: pick(1, 3, chain.MaxPast)}
 	var peers []view.Peer
 	for i := range machines {
 		b := &box{addr: fmt.Sprint("m", i), up: true}
@@ -474,6 +475,10 @@
 			s.taken(c, o, 0)
 			return
 		}
+		if verdict.Kind == chain.Unclear && s.defect != forgetPast { // the client reads, and gives this order up
+			s.finish(c, o, b.record.Value.Revision)
+			return
+		}
 		a := &ask{view: b.view, yes: map[string]bool{}, value: b.record.Value, who: c, order: o}
 		if s.defect == refuseUnasked {
 			s.refused(c, o, b.record.Value)
@@ -482,9 +487,7 @@
 		s.ask(b, a)
 		return
 	}
-	if s.defect == forgetPast {
-		next.Past = next.Past[len(next.Past)-1:]
-	}
+	next.Past = next.Past[max(0, len(next.Past)-s.style.memory):]
 	if !s.write(b, func() { b.record = chain.Record{View: b.view.Number, Value: *next} }) {
 		return
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -37,7 +37,7 @@
 
 // proc is one process of a site on loopback; its machine keeps its address and its folder.
 type proc struct {
-	t       *testing.T
+	t       testing.TB
 	addr    string
 	dir     string
 	m       *Member
@@ -51,15 +51,23 @@
 }
 
 type site struct {
-	t     *testing.T
+	t     testing.TB
 	seeds []string
 	procs []*proc
 	loss  int
+	check chain.Check
 
 	mu   sync.Mutex
-	cuts map[[2]string]bool // what is sent from one address to the other is lost
-	heal chan struct{}      // closed when cuts change
-	deaf *proc              // no push of a value reaches it
+	cuts map[[2]string]bool                     // what is sent from one address to the other is lost
+	heal chan struct{}                          // closed when cuts change
+	deaf *proc                                  // no push of a value reaches it
+	tap  func(from, name string, answered bool) // sees each call as it is sent and as it is answered
+}
+
+func (s *site) setTap(tap func(from, name string, answered bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tap = tap
 }
 
 // cut loses what is sent from one process to others, until it is whole again.
@@ -145,6 +153,13 @@
 	return h
 }
 
+// holds tells whether a write waits.
+func (d *badDisk) holds() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.since.IsZero()
+}
+
 func (d *badDisk) setFull(full bool) {
 	d.mu.Lock()
 	d.full = full
@@ -164,7 +179,7 @@
 
 // stateDir is a folder for a machine's state, in memory where there is such a file system: the
 // tests are about processes, and their disks are one that many of them share.
-func stateDir(t *testing.T) string {
+func stateDir(t testing.TB) string {
 	dir, err := os.MkdirTemp("/dev/shm", "core")
 	if err != nil {
 		return t.TempDir()
@@ -176,8 +191,8 @@
 // machines counts all of the tests.
 var machines atomic.Int32
 
-func newSite(t *testing.T, disks, others int) *site {
-	s := &site{t: t, loss: 1, cuts: map[[2]string]bool{}, heal: make(chan struct{})}
+func newSite(t testing.TB, disks, others int) *site {
+	s := &site{t: t, loss: 1, check: checkNumber, cuts: map[[2]string]bool{}, heal: make(chan struct{})}
 	for i := range disks + others {
 		// An address of its own: no outgoing connection ever has its port.
 		n := machines.Add(1)
@@ -217,7 +232,7 @@
 		p.ack = 5 * time.Second
 	}
 	m, err := Open(Options{Addr: p.addr, Zone: "z", Dir: p.dir, HasDisk: p.dir != "", FirstStart: first,
-		Seeds: func() []string { return s.seeds }, Losses: s.loss, Counted: true, Pool: pool, Check: checkNumber, AckWithin: p.ack,
+		Seeds: func() []string { return s.seeds }, Losses: s.loss, Counted: true, Pool: pool, Check: s.check, AckWithin: p.ack,
 		OnCommit: func(v chain.Value) {
 			p.mu.Lock()
 			p.commits = append(p.commits, v.Seq)
@@ -229,8 +244,12 @@
 	m.store = p.disk
 	m.link = func(ctx context.Context, to, name string, do func() error) error {
 		s.mu.Lock()
-		deaf := s.deaf != nil && s.deaf.addr == to && name == "core.push"
+		deaf, tap := s.deaf != nil && s.deaf.addr == to && name == "core.push", s.tap
 		s.mu.Unlock()
+		if tap != nil {
+			tap(p.addr, name, false)
+			defer tap(p.addr, name, true)
+		}
 		if deaf {
 			<-ctx.Done()
 			return ctx.Err()
@@ -291,10 +310,12 @@
 	}
 }
 
-func (p *proc) order(ifMatch, body int64) chain.Verdict {
+func (p *proc) order(ifMatch, body int64) chain.Verdict { return p.submit(orderOf(ifMatch, body)) }
+
+// submit sends an order until it is clear what became of it.
+func (p *proc) submit(o *chain.Order) chain.Verdict {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	o := &chain.Order{IfMatch: ifMatch, Body: []byte(strconv.FormatInt(body, 10))}
 	for {
 		if v := p.m.Submit(ctx, o); v.Kind != chain.Unclear || ctx.Err() != nil {
 			return v
--- a/internal/core/head.go
+++ b/internal/core/head.go
@@ -128,7 +128,7 @@
 		return m.notHead()
 	}
 	if next == nil {
-		if verdict.Kind == chain.Taken {
+		if verdict.Kind == chain.Taken || verdict.Kind == chain.Unclear {
 			return orderAnswer{Verdict: verdict}
 		}
 		// A refusal is final, so the value that it rests on has to be the newest of all.
@@ -217,7 +217,7 @@
 		if err != nil {
 			return reply[chain.Verdict]{value: chain.Verdict{Reason: err.Error()}}
 		}
-		return reply[chain.Verdict]{value: a.Verdict, done: a.Verdict.Kind != chain.Unclear, newer: a.Newer}
+		return reply[chain.Verdict]{value: a.Verdict, done: a.Verdict.Kind != chain.Unclear || a.Verdict.Final, newer: a.Newer}
 	})
 }
 
--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/chain"
 	"chalkdoor.example/chalkdoor/internal/view"
 	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -18,7 +19,7 @@
 const soon = 2 * time.Second
 
 // founded is a site that has taken its first order, and one of its processes without a disk.
-func founded(t *testing.T, disks, others int) (*site, *proc) {
+func founded(t testing.TB, disks, others int) (*site, *proc) {
 	s := newSite(t, disks, others)
 	s.startAll(true)
 	last := s.procs[len(s.procs)-1]
@@ -290,8 +291,12 @@
 	Equal: func(a, b any) bool { return a == b },
 }
 
+// maxRepeats is how often an operator sends an order again.
+const maxRepeats = 3
+
 // Operators send orders and reads to all machines while the head is killed, cut off or its disk
-// stalls; the whole history is one of a register.
+// stalls, and repeat orders at other agents whose answers were lost; the whole history is one of a
+// register, where an order and its repeats are one operation.
 func TestHistoryIsLinearizable(t *testing.T) {
 	t.Parallel()
 	s, _ := founded(t, 4, 1)
@@ -299,6 +304,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	var ops []porcupine.Operation
+	var repeatedClear, repeatedUnclear atomic.Int64
 	begun := time.Now()
 	members := make([]*Member, len(s.procs))
 	for i, p := range s.procs {
@@ -325,7 +331,27 @@
 				} else {
 					n++
 					in.ifMatch, in.body = knows, knows+n*10+int64(c)+1
-					v := member(i).Submit(octx, &chain.Order{IfMatch: in.ifMatch, Body: []byte(strconv.FormatInt(in.body, 10))})
+					order := orderOf(in.ifMatch, in.body)
+					v := member(i).Submit(octx, order)
+					// An answer that is lost, or came too late: the same order goes to other agents.
+					for again := 1; again <= maxRepeats && (v.Kind == chain.Unclear || again == 1 && i%2 == 0); again++ {
+						first := v
+						rctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+						v = member(i+again).Submit(rctx, order)
+						cancel()
+						if first.Kind == chain.Unclear {
+							repeatedUnclear.Add(1)
+							continue
+						}
+						if v.Kind != chain.Unclear {
+							assert.Equal(t, first.Kind, v.Kind, "a repeated order gets another answer")
+							if first.Kind == chain.Taken { // a refusal names the newest revision
+								assert.Equal(t, first.Revision, v.Revision)
+							}
+							repeatedClear.Add(1)
+						}
+						v = first
+					}
 					out = registerOut{v.Kind, v.Revision}
 					if v.Kind == chain.Taken || v.Kind == chain.Conflict {
 						knows = v.Revision
@@ -379,7 +405,9 @@
 		}
 	}
 	require.Greater(t, taken, 10)
-	t.Logf("%d operations, %d orders taken", len(ops), taken)
+	t.Logf("%d operations, %d orders taken, %d repeated after a clear answer and %d after none", len(ops), taken, repeatedClear.Load(), repeatedUnclear.Load())
+	require.Positive(t, repeatedClear.Load())
+	require.Positive(t, repeatedUnclear.Load())
 	require.True(t, porcupine.CheckOperations(registerModel.ToModel(), ops), "the history is not one of a register")
 }
 
