--- /dev/null
+++ b/internal/inst/final_test.go
@@ -0,0 +1,26 @@
+package inst
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// An end stays final when the one who told it tells it no more, and another still tells what was before.
+func TestAnEndOutlivesItsTeller(t *testing.T) {
+	t.Parallel()
+	now := time.Minute
+	for name, end := range map[string]State{"draining": Draining, "gone": Gone} {
+		table := NewTable("self", time.Second)
+		before := &Instance{ID: "s", Service: "m", Addr: "s:1", Seq: 1, State: Ready}
+		after := *before
+		after.Seq, after.State = 2, end
+		table.Tell(now, "former home", before)
+		assert.Contains(t, table.List().ByID, "s")
+		table.Tell(now, "newer home", &after)
+		assert.NotContains(t, table.List().ByID, "s", name)
+		table.Untell(now, "newer home", "s")
+		assert.NotContains(t, table.List().ByID, "s", name)
+	}
+}
