Count arriving bytes as life of a session between agents

Cause: silence was counted by whole messages, and the hello came in one message with all deltas. A configuration that takes over a second on a link was cut and begun again without end: 1.6 MB at 640 KB/s never arrived in 30 s, neither on a standing session nor at a newcomer. Change: rpc counts the bytes that a stream's connection brings (Stream.Received); a session is given up after 1 s without a byte, or 30 s without a whole message, however steadily bytes come. The answering side sends its hello ahead of the deltas, so that the hello keeps its 1 s; a hello no longer tells whether its sender has had all.

--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -30,7 +30,7 @@
 )
 
 const (
-	// heartbeat is how often a session says something, silence after how much of it it is over.
+	// heartbeat is how often a session says something; it is over after silence in which no byte came.
 	heartbeat, silence = 300 * time.Millisecond, time.Second
 	// tickEvery is how often silence and leases are looked at.
 	tickEvery = 200 * time.Millisecond
@@ -577,7 +577,7 @@
 	}
 	attached := false
 	for s := range h.sessions {
-		if now-s.heard > silence {
+		if s.expired(now) {
 			s.cancel()
 		}
 		attached = attached || s.core && s.linked
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -21,6 +21,9 @@
 	redial = 150 * time.Millisecond
 	// maxVector bounds the vector of a hello, maxName its names.
 	maxVector, maxName = 8192, 512
+	// messageWithin is how long one message may take, however steadily its bytes come: the longest
+	// that rpc takes, 16 MB, needs 26 s at 640 KB/s.
+	messageWithin = 30 * time.Second
 	// unlinkedFor is how long a hub may be cut off from the core before its agents try others.
 	unlinkedFor = 400 * time.Millisecond
 )
@@ -49,21 +52,25 @@
 
 // session is a session with one peer. Its fields belong to the hub's lock.
 type session struct {
-	peer    string
-	source  string
-	core    bool
-	dialed  bool
-	has     feed.Vector // what the peer has
-	got     uint64      // of the own source
-	linked  bool
-	full    bool // the peer has had all that a hub knows
-	said    bool // it has said whether
-	greeted bool // the answering side has said hello
-	heard   time.Duration
-	since   time.Duration // unlinked since
-	cancel  context.CancelFunc
-	notes   []notice    // to be sent
-	poke    *time.Timer // when
+	peer   string
+	source string
+	core   bool
+	dialed bool
+	has    feed.Vector // what the peer has
+	got    uint64      // of the own source
+	linked bool
+	full   bool          // the peer has had all that a hub knows
+	said   bool          // it has said whether
+	heard  time.Duration // when the last whole message came
+	since  time.Duration // unlinked since
+	// received counts the bytes that the peer has sent; bytes is what it was at the last tick,
+	// progress when it had risen.
+	received func() uint64
+	bytes    uint64
+	progress time.Duration
+	cancel   context.CancelFunc
+	notes    []notice    // to be sent
+	poke     *time.Timer // when
 }
 
 // answer serves a session that a peer began.
@@ -127,7 +134,7 @@
 		h.tellEnd(theirs.Source) // it was away when that was told
 	}
 	s := &session{peer: peer, source: theirs.Source, core: theirs.Core, dialed: first != nil, has: maps.Clone(theirs.Vector),
-		heard: h.now(), since: h.now(), cancel: cancel, poke: time.NewTimer(time.Hour)}
+		heard: h.now(), since: h.now(), received: st.Received, cancel: cancel, poke: time.NewTimer(time.Hour)}
 	defer s.poke.Stop()
 	if s.has == nil {
 		s.has = feed.Vector{}
@@ -176,7 +183,10 @@
 	if m.Linked {
 		s.since = now
 	}
-	s.core, s.linked, s.full, s.said = m.Core, m.Linked, m.Full, true
+	s.core, s.linked = m.Core, m.Linked
+	if m.Hello == nil { // a hello comes before the deltas, and can't tell
+		s.full, s.said = m.Full, true
+	}
 	h.apply(m.Deltas)
 	for i := range m.Deltas {
 		if d := &m.Deltas[i]; h.set.Has(d.Source) >= d.Upto {
@@ -195,9 +205,32 @@
 	}
 }
 
+// expired tells whether a peer is to be given up: it has sent nothing for too long, or has taken
+// too long over one message. The hub's lock is held.
+func (s *session) expired(now time.Duration) bool {
+	if received := s.received(); received != s.bytes {
+		s.bytes, s.progress = received, now
+	}
+	return now-max(s.heard, s.progress) > silence || now-s.heard > messageWithin
+}
+
+// greet answers a hello. It goes ahead of the deltas, which may take long.
+func (h *Hub) greet(st *stream) error {
+	m := &message{Core: h.o.Core.IsCore(), Linked: h.o.Core.Linked()}
+	h.mu.Lock()
+	m.Hello = &hello{Source: h.set.Self(), Addr: h.o.Self.Addr, Core: true, Vector: h.set.Vector()}
+	h.mu.Unlock()
+	return st.Send(m)
+}
+
 // send sends what the peer lacks as it comes, and says something now and then. The first message
-// has all there is; on the answering side it has the hello.
+// has all there is; on the answering side the hello goes before it.
 func (h *Hub) send(ctx context.Context, st *stream, s *session) error {
+	if !s.dialed {
+		if err := h.greet(st); err != nil {
+			return err
+		}
+	}
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	due, got, full, core, link := true, uint64(0), false, false, false
@@ -205,10 +238,6 @@
 		m := &message{Core: h.o.Core.IsCore(), Linked: h.o.Core.Linked()}
 		h.mu.Lock()
 		changed := h.changed
-		if due && !s.dialed && !s.greeted {
-			s.greeted = true
-			m.Hello = &hello{Source: h.set.Self(), Addr: h.o.Self.Addr, Core: true, Vector: h.set.Vector()}
-		}
 		m.Deltas = h.set.Since(s.has)
 		for _, d := range m.Deltas {
 			s.has[d.Source] = d.Upto
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -153,7 +153,7 @@
 	o := options()
 	o.InactivityTimeout = quiet
 	srv := drpcserver.NewWithOptions(t, drpcserver.Options{Manager: o})
-	err := srv.Serve(ctx, netutil.LimitListener(tuned{ln}, maxConns))
+	err := srv.Serve(ctx, countingListener{netutil.LimitListener(tuned{ln}, maxConns)})
 	if ctx.Err() != nil || err == nil {
 		return nil
 	}
@@ -245,7 +245,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "connect to agent %s", addr)
 	}
-	c := drpcconn.NewWithOptions(nc, drpcconn.Options{Manager: options()})
+	c := drpcconn.NewWithOptions(&countingConn{Conn: nc}, drpcconn.Options{Manager: options()})
 	s, err := c.NewStream(ctx, name, codec{})
 	if err != nil {
 		c.Close()
