Acknowledge the end of a server only when a majority of the core holds it

Cause: a drain or leave was acknowledged once any other hub held it, also one that was cut off from the core together with the agent, or with one other hub of five. Change: machines of the core acknowledge to each other the deltas that they take (message.Held). Each works out which version of a source a majority of the core's machines holds, itself included, and tells it to the agent whose source it is (message.Replicated); a drain or leave waits for that. It costs one round trip between machines of the core more. No known core: no acknowledgement. What an agent says when it ends still waits for one hub only. Tests that had one hub's word acknowledge a drain now ask for the majority's, and that the one hub's word is not enough; a core of one machine that was another machine in a fixture is the process itself.

--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -331,6 +331,8 @@
 	h.table.Ended(now, source)
 	for s := range h.sessions {
 		delete(s.has, source)
+		delete(s.held, source)
+		delete(s.unacked, source)
 	}
 }
 
@@ -401,8 +403,8 @@
 }
 
 // Beat takes a server's call; in is not to be changed after. A server that says it drains is
-// answered once that is on its way to all; false: it is not, and the server had better call another
-// agent. So it had if what it says is out of bounds.
+// answered once a majority of the core holds that; false: it is not known to, and the server had
+// better call another agent. So it had if what it says is out of bounds.
 func (h *Hub) Beat(ctx context.Context, in *inst.Instance) bool {
 	if !in.Sound() {
 		return false
@@ -414,7 +416,7 @@
 	}
 	life, ver := h.set.Self(), h.set.Own()
 	h.mu.Unlock()
-	return in.State == inst.Ready || h.passedOn(ctx, life, ver)
+	return in.State == inst.Ready || h.awaitReplicated(ctx, life, ver)
 }
 
 // Leave takes a server's word that it ends, as Beat does.
@@ -429,35 +431,7 @@
 	}
 	life, ver := h.set.Self(), h.set.Own()
 	h.mu.Unlock()
-	return h.passedOn(ctx, life, ver)
-}
-
-// passedOn waits until another hub has all that a life of this agent had told up to a version. A
-// core of one machine has no other.
-func (h *Hub) passedOn(ctx context.Context, life string, ver uint64) bool {
-	for {
-		alone := h.o.Core.IsCore() && len(h.o.Core.Hubs()) <= 1
-		h.mu.Lock()
-		if h.set.Self() != life { // it goes on with all of that
-			life, ver = h.set.Self(), h.set.Own()
-		}
-		for s := range h.sessions {
-			if s.core && s.got >= ver {
-				h.mu.Unlock()
-				return true
-			}
-		}
-		changed := h.changed
-		h.mu.Unlock()
-		if alone {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return false
-		}
-	}
+	return h.awaitReplicated(ctx, life, ver)
 }
 
 // Ending tells the others that this agent is about to end.
@@ -475,7 +449,7 @@
 	life := h.set.Self()
 	ver := h.tell(endPrefix+life, []byte{1})
 	h.mu.Unlock()
-	h.passedOn(ctx, life, ver)
+	h.awaitReceived(ctx, life, ver)
 }
 
 // Others are the agents' addresses of other members that are not ending, core or not.
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -158,7 +158,7 @@
 	require.True(t, lists("r")(l.hubs[1]) == false, "the other hub has it when it is acknowledged")
 	a.cutOff(false, l.hubs...)
 	require.True(t, a.call(drains("s", 1002)))
-	assert.True(t, !lists("s")(l.hubs[0]) || !lists("s")(l.hubs[1]))
+	assert.True(t, !lists("s")(l.hubs[0]) && !lists("s")(l.hubs[1]), "both are the majority")
 	l.eventually("gone", not(lists("s")))
 	l.eventually("gone", not(lists("r")))
 }
--- a/internal/hub/life_test.go
+++ b/internal/hub/life_test.go
@@ -43,7 +43,7 @@
 // meet gives a hub a session with a peer, which says nothing by itself.
 func (s *still) meet(peer, source string, core bool) *session {
 	x := &session{peer: peer, source: source, core: core, has: feed.Vector{}, heard: s.now(), since: s.now(), cancel: func() {},
-		received: func() uint64 { return 0 }, poke: time.NewTimer(time.Hour)}
+		received: func() uint64 { return 0 }, held: feed.Vector{}, unacked: map[string]bool{}, replicatedChanged: make(chan struct{}, 1), poke: time.NewTimer(time.Hour)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sessions[x] = true
@@ -126,24 +126,26 @@
 func TestANewLifeIsAcknowledgedAnew(t *testing.T) {
 	s := newStill("a", false)
 	x := s.meet("h", "h/1", true)
-	s.says(x, &message{Core: true, Linked: true, Got: s.set.Own()})
+	s.says(x, &message{Core: true, Linked: true, Replicated: s.set.Own()})
 	for i := range 20 {
 		require.True(t, s.Beat(t.Context(), server(fmt.Sprint("s", i), 1)))
 	}
-	s.says(x, &message{Core: true, Linked: true, Got: s.set.Own()})
+	s.says(x, &message{Core: true, Linked: true, Replicated: s.set.Own()})
 	require.True(t, s.Beat(t.Context(), server("s0", 2)))
 	old := s.source()
 	s.mu.Lock()
 	s.end(old)
 	s.mu.Unlock()
 	require.NotEqual(t, old, s.source())
-	s.says(x, &message{Core: true, Linked: true, Got: s.set.Own() + 5}) // was on its way
+	s.says(x, &message{Core: true, Linked: true, Got: s.set.Own() + 5, Replicated: s.set.Own() + 5}) // was on its way
 	assert.False(t, s.Beat(within(t, 50*time.Millisecond), drains("s0", 3)), "no peer of the new life has it")
 	y := s.meet("h", "h/1", true)
-	s.says(y, &message{Core: true, Linked: true, Got: s.set.Own() + 5})
+	s.says(y, &message{Core: true, Linked: true, Got: s.set.Own() + 5, Replicated: s.set.Own() + 5})
 	assert.False(t, s.Beat(within(t, 50*time.Millisecond), drains("s0", 4)), "nobody has what was not told yet")
 	s.says(y, &message{Core: true, Linked: true, Got: s.set.Own()})
-	assert.True(t, s.Beat(t.Context(), drains("s0", 5)))
+	assert.False(t, s.Beat(within(t, 50*time.Millisecond), drains("s0", 5)), "one hub has it")
+	s.says(y, &message{Core: true, Linked: true, Replicated: s.set.Own()})
+	assert.True(t, s.Beat(t.Context(), drains("s0", 6)))
 }
 
 // What an agent has is not yet on its way to all: a hub waits for another hub.
@@ -155,8 +157,10 @@
 	require.False(t, h.Beat(within(t, 50*time.Millisecond), drains("s", 2)))
 	h.says(a, &message{Got: h.set.Own()})
 	require.False(t, h.Beat(within(t, 50*time.Millisecond), drains("s", 3)))
-	h.says(o, &message{Core: true, Got: h.set.Own()})
-	assert.True(t, h.Beat(t.Context(), drains("s", 4)))
+	h.says(o, &message{Core: true, Got: h.set.Own(), Held: feed.Vector{h.source(): h.set.Own() - 1}})
+	require.False(t, h.Beat(within(t, 50*time.Millisecond), drains("s", 4)))
+	h.says(o, &message{Core: true, Held: feed.Vector{h.source(): h.set.Own()}})
+	assert.True(t, h.Beat(t.Context(), drains("s", 5)))
 }
 
 // A drain that waits while its agent goes on as a new life is acknowledged by what peers have of
@@ -182,7 +186,7 @@
 	s.end(s.set.Self())
 	s.mu.Unlock()
 	x := s.meet("h", "h/1", true)
-	s.says(x, &message{Core: true, Got: s.set.Own()})
+	s.says(x, &message{Core: true, Replicated: s.set.Own()})
 	assert.True(t, <-done)
 }
 
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -46,6 +46,10 @@
 	Linked   bool         `msgpack:"l,omitempty"`
 	Full     bool         `msgpack:"f,omitempty"` // the sender has had all that a hub knows
 	Notices  []notice     `msgpack:"n,omitempty"`
+	// Held acknowledges deltas between machines of the core: the versions that the sender holds.
+	Held feed.Vector `msgpack:"v,omitempty"`
+	// Replicated is the version of the receiver's own source that a majority of the core holds.
+	Replicated uint64 `msgpack:"p,omitempty"`
 }
 
 type stream = rpc.Stream[message, message]
@@ -58,11 +62,19 @@
 	dialed bool
 	has    feed.Vector // what the peer has
 	got    uint64      // of the own source
-	linked bool
-	full   bool          // the peer has had all that a hub knows
-	said   bool          // it has said whether
-	heard  time.Duration // when the last whole message came
-	since  time.Duration // unlinked since
+	// held is what the peer has itself said to have: unlike has, not what was only sent to it.
+	held feed.Vector
+	// unacked are the sources of which it sent deltas that are not acknowledged yet.
+	unacked map[string]bool
+	// replicated is the version of the own source that a majority of the core holds, as it tells.
+	replicated uint64
+	// replicatedChanged wakes the sender when that of the peer's source has risen.
+	replicatedChanged chan struct{}
+	linked            bool
+	full              bool          // the peer has had all that a hub knows
+	said              bool          // it has said whether
+	heard             time.Duration // when the last whole message came
+	since             time.Duration // unlinked since
 	// received counts the bytes that the peer has sent; bytes is what it was at the last tick,
 	// progress when it had risen.
 	received func() uint64
@@ -115,6 +127,7 @@
 // session, mine is its own and first what came with theirs.
 func (h *Hub) session(ctx context.Context, st *stream, theirs *hello, peer string, mine *hello, first *message) error {
 	ctx, cancel := context.WithCancel(ctx)
+	hubs := h.o.Core.Hubs()
 	h.mu.Lock()
 	var refusal error
 	switch {
@@ -134,11 +147,15 @@
 		h.tellEnd(theirs.Source) // it was away when that was told
 	}
 	s := &session{peer: peer, source: theirs.Source, core: theirs.Core, dialed: first != nil, has: maps.Clone(theirs.Vector),
-		heard: h.now(), since: h.now(), received: st.Received, cancel: cancel, poke: time.NewTimer(time.Hour)}
+		heard: h.now(), since: h.now(), received: st.Received, cancel: cancel, poke: time.NewTimer(time.Hour),
+		held: feed.Vector{}, unacked: map[string]bool{}, replicatedChanged: make(chan struct{}, 1)}
 	defer s.poke.Stop()
 	if s.has == nil {
 		s.has = feed.Vector{}
 	}
+	for source, version := range theirs.Vector {
+		h.recordHeld(s, source, version, hubs)
+	}
 	h.sessions[s] = true
 	h.mu.Unlock()
 	var wg sync.WaitGroup
@@ -172,7 +189,7 @@
 }
 
 func (h *Hub) receive(s *session, m *message) {
-	linked := h.o.Core.Linked()
+	core, linked, hubs := h.o.Core.IsCore(), h.o.Core.Linked(), h.o.Core.Hubs()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.sessions[s] {
@@ -193,12 +210,19 @@
 			s.has[d.Source] = max(s.has[d.Source], d.Upto)
 		}
 	}
+	if core && s.core {
+		h.replicate(s, m, hubs)
+	}
 	h.noticed(s, m.Notices)
 	if m.Got > s.got && m.Got <= h.set.Own() {
 		s.got = m.Got
 		h.wake()
 	}
-	if s.core && m.Linked && m.Full && !h.synced && (linked || !h.o.Core.IsCore()) {
+	if m.Replicated > s.replicated && m.Replicated <= h.set.Own() {
+		s.replicated = m.Replicated
+		h.wake()
+	}
+	if s.core && m.Linked && m.Full && !h.synced && (linked || !core) {
 		h.synced = true // a message says Full only after all that its sender has: see send
 		event.Synced.Log("peer", s.peer, "config", h.seq)
 		h.publish()
@@ -233,22 +257,27 @@
 	}
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
-	due, got, full, core, link := true, uint64(0), false, false, false
+	due, got, full, core, link, replicated := true, uint64(0), false, false, false, uint64(0)
 	for {
 		m := &message{Core: h.o.Core.IsCore(), Linked: h.o.Core.Linked()}
+		hubs := h.o.Core.Hubs()
 		h.mu.Lock()
 		changed := h.changed
 		m.Deltas = h.set.Since(s.has)
 		for _, d := range m.Deltas {
 			s.has[d.Source] = d.Upto
 		}
-		m.Got, m.Full = h.set.Had(s.source), h.synced
+		m.Got, m.Full, m.Held = h.set.Had(s.source), h.synced, h.acknowledge(s)
+		if m.Core && !s.core {
+			m.Replicated = h.replicatedVersion(s.source, hubs)
+		}
 		h.mu.Unlock()
-		if due || len(m.Deltas) > 0 || m.Got != got || m.Full != full || m.Core != core || m.Linked != link {
+		if due || len(m.Deltas) > 0 || len(m.Held) > 0 || m.Got != got || m.Replicated != replicated || m.Full != full ||
+			m.Core != core || m.Linked != link {
 			if err := st.Send(m); err != nil {
 				return err
 			}
-			due, got, full, core, link = false, m.Got, m.Full, m.Core, m.Linked
+			due, got, full, core, link, replicated = false, m.Got, m.Full, m.Core, m.Linked, m.Replicated
 		}
 	wait:
 		for {
@@ -257,12 +286,14 @@
 				return nil
 			case <-changed:
 				break wait
+			case <-s.replicatedChanged:
+				break wait
 			case <-beat.C:
 				due = true
 				break wait
 			case <-s.poke.C:
 				h.mu.Lock()
-				m := &message{Core: core, Linked: link, Full: full, Got: got, Notices: h.takeNotes(s)}
+				m := &message{Core: core, Linked: link, Full: full, Got: got, Replicated: replicated, Notices: h.takeNotes(s)}
 				h.mu.Unlock()
 				if err := st.Send(m); err != nil {
 					return err
