Let core and hub run over another network and another disk

Change: rpc.Dialer, which a Pool and OpenOver use (TCP by default); hub.Options.Dialer; core.Options.Disk in place of the store; core.InspectRecords reads the state of such a disk.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -62,6 +62,7 @@
 	Zone         string
 	Region       string
 	Dir          string // of the state; "": in memory
+	Disk         Disk   // keeps the state in place of a store in Dir, which is its name then; nil: the store
 	HasDisk      bool   // the machine is of the core
 	FirstStart   bool   // the whole system starts for the first time
 	Seeds        func() []string
@@ -77,8 +78,8 @@
 	AckWithin    time.Duration     // bounds Submit and Read; 0: 900 ms
 }
 
-// disk is what a Member needs of a store.
-type disk interface {
+// Disk is what a Member needs of a store: Put returns nil once the record outlives a loss of power.
+type Disk interface {
 	Get(key string) ([]byte, bool)
 	Put(key string, val []byte) error
 	Probe() error
@@ -93,7 +94,7 @@
 	me    view.Peer
 	life  string // names this life in ballots
 	named bool   // the id is on disk; until then the process asks for no vote
-	store disk
+	store Disk
 	link  func(ctx context.Context, addr, name string, do func() error) error // what is between agents, in tests
 	seeds []string                                                            // the acceptors of view 1; nil where this process does not found
 
@@ -150,15 +151,10 @@
 	if !o.HasDisk {
 		o.Dir = ""
 	}
-	st, rep, err := store.Open(o.Dir)
+	st, err := openDisk(&o)
 	if err != nil {
 		return nil, err
 	}
-	if rep.Damaged {
-		event.DiskDamaged.Log("why", rep.Why)
-	} else if rep.Torn > 0 {
-		event.DiskTorn.Log("bytes", rep.Torn)
-	}
 	now := time.Now()
 	m := &Member{o: o, store: st, life: random(4), step: make(chan struct{}, 1), orders: make(chan *asked, maxOrders),
 		kick: make(chan struct{}, 1), inView: make(chan struct{}), changed: make(chan struct{}),
@@ -177,6 +173,23 @@
 	return m, nil
 }
 
+// openDisk opens the store of the options' folder, where they bring no disk of their own.
+func openDisk(o *Options) (Disk, error) {
+	if o.Disk != nil && o.Dir != "" {
+		return o.Disk, nil
+	}
+	st, rep, err := store.Open(o.Dir)
+	if err != nil {
+		return nil, err
+	}
+	if rep.Damaged {
+		event.DiskDamaged.Log("why", rep.Why)
+	} else if rep.Torn > 0 {
+		event.DiskTorn.Log("bytes", rep.Torn)
+	}
+	return st, nil
+}
+
 func (m *Member) loadState() error {
 	id, ok := m.store.Get(keyID)
 	if !ok {
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -341,7 +341,7 @@
 	a, err := p.m.onPrepare(callFor(t, bound), &prepareCall{To: p.addr, Q: view.Prepare{Base: base, Ballot: ballot}})
 	require.NoError(t, err)
 	require.False(t, a.OK)
-	first, ok := view.First([]view.Peer{p.m.me}, s.loss)
+	first, ok := view.First([]view.Peer{p.m.me}, view.Tolerance{Machines: s.loss})
 	require.True(t, ok)
 	a, err = p.m.onAccept(callFor(t, bound), &acceptCall{To: p.addr, Q: view.Accept{Base: base, Ballot: ballot, View: first}})
 	require.NoError(t, err)
--- a/internal/core/inspect.go
+++ b/internal/core/inspect.go
@@ -40,3 +40,19 @@
 	s.Sum = s.Record.Value.Sum()
 	return s, rep, nil
 }
+
+// InspectRecords reads the state of records that get gives by their names, as a Disk does.
+func InspectRecords(get func(key string) ([]byte, bool)) (State, error) {
+	var s State
+	id, _ := get(keyID)
+	s.ID = string(id)
+	for key, to := range map[string]any{keyView: &s.View, keyVote: &s.Vote, keyValue: &s.Record} {
+		if raw, ok := get(key); ok {
+			if err := decode(raw, to); err != nil {
+				return s, errors.Wrapf(err, "read record %s", key)
+			}
+		}
+	}
+	s.Sum = s.Record.Value.Sum()
+	return s, nil
+}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -107,6 +107,7 @@
 	// hub's lock and may be nil. LinkMbps is the machine's link.
 	OnNotice func(age time.Duration, n *pick.Notice)
 	LinkMbps float64
+	Dialer   rpc.Dialer // of sessions; nil: TCP
 }
 
 // Hub is the feed of one process.
@@ -138,6 +139,9 @@
 
 // New returns a hub of a new life.
 func New(o Options) *Hub {
+	if o.Dialer == nil {
+		o.Dialer = rpc.TCP{}
+	}
 	h := &Hub{o: o, start: time.Now(), members: map[string]Member{}, sessions: map[*session]bool{},
 		changed: make(chan struct{}), ended: map[string]time.Duration{}, granted: map[string]bool{}, leases: lease.New(leaseLasts),
 		limit: rate.NewLimiter(0, 100*noticeBytes), journal: ev.New[feed.Change](keepEvents)}
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -414,7 +414,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	late := time.AfterFunc(helloWithin, cancel)
-	st, hangUp, err := rpc.Open[message, message](ctx, addr, "feed.session")
+	st, hangUp, err := rpc.OpenOver[message, message](ctx, h.o.Dialer, addr, "feed.session")
 	if err != nil {
 		return
 	}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -191,6 +191,17 @@
 	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 }
 
+// Dialer opens connections to the other processes. What it returns notices a silent cut by itself.
+type Dialer interface {
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// TCP is the Dialer of processes on machines.
+type TCP struct{}
+
+// Dial opens a TCP connection that notices a silent cut.
+func (TCP) Dial(ctx context.Context, addr string) (net.Conn, error) { return Dial(ctx, addr) }
+
 // Dial opens a TCP connection that notices a silent cut.
 func Dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: probes,
@@ -202,6 +213,8 @@
 
 // Pool keeps connections to peers. It is safe for concurrent use.
 type Pool struct {
+	dialer Dialer
+
 	mu     sync.Mutex
 	idle   map[string][]idleConn
 	closed bool
@@ -213,8 +226,11 @@
 	since time.Time
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]idleConn{}} }
+// NewPool returns an empty pool of TCP connections.
+func NewPool() *Pool { return NewPoolOver(TCP{}) }
+
+// NewPoolOver returns an empty pool of a dialer's connections.
+func NewPoolOver(d Dialer) *Pool { return &Pool{dialer: d, idle: map[string][]idleConn{}} }
 
 // Call asks the peer at addr. The context must bound it.
 func Call[Q, A any](ctx context.Context, p *Pool, addr, name string, q *Q) (*A, error) {
@@ -239,9 +255,14 @@
 	}
 }
 
-// Open starts a stream with the peer at addr, on a connection of its own that ends with it.
+// Open starts a stream with the peer at addr, on a TCP connection of its own that ends with it.
 func Open[Out, In any](ctx context.Context, addr, name string) (*Stream[Out, In], func(), error) {
-	nc, err := Dial(ctx, addr)
+	return OpenOver[Out, In](ctx, TCP{}, addr, name)
+}
+
+// OpenOver starts a stream as Open does, on a connection of a dialer.
+func OpenOver[Out, In any](ctx context.Context, d Dialer, addr, name string) (*Stream[Out, In], func(), error) {
+	nc, err := d.Dial(ctx, addr)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "connect to agent %s", addr)
 	}
@@ -270,7 +291,7 @@
 	if c != nil {
 		return c, nil
 	}
-	nc, err := Dial(ctx, addr)
+	nc, err := p.dialer.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/view/majority_test.go
+++ b/internal/view/majority_test.go
@@ -18,7 +18,7 @@
 // Half of the voters decide nothing, neither by promises nor by acceptances.
 func TestHalfDecidesNothing(t *testing.T) {
 	t.Parallel()
-	base, ok := First(peers("a b c d"), 1)
+	base, ok := First(peers("a b c d"), Tolerance{Machines: 1})
 	require.True(t, ok)
 	next := base.Drop("d")
 	ballot := Ballot{Round: 1, By: "a"}
