--- /dev/null
+++ b/internal/lab/controlsim/machine.go
@@ -0,0 +1,229 @@
+package controlsim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chalkdoor.example/chalkdoor/internal/chain"
+	"chalkdoor.example/chalkdoor/internal/conf"
+	"chalkdoor.example/chalkdoor/internal/core"
+	"chalkdoor.example/chalkdoor/internal/hub"
+	"chalkdoor.example/chalkdoor/internal/rpc"
+	"chalkdoor.example/chalkdoor/internal/view"
+)
+
+const (
+	port         = ":7400"
+	beatEvery    = time.Second
+	savedServers = "servers"
+	// newestWait bounds one read of the newest configuration at a start, newestPause is between two.
+	newestWait, newestPause = time.Second, 200 * time.Millisecond
+	// endGrace bounds a process's end after SIGTERM, byeWait its last words.
+	endGrace, byeWait = 4 * time.Second, 500 * time.Millisecond
+)
+
+// machine is one machine of the fleet: a host on the network, a disk if it is of the core, and the
+// process that runs on it.
+type machine struct {
+	run   *run
+	index int
+	name  string
+	zone  string
+	host  *host
+	media *media // nil: an agent without a disk
+	lives int
+
+	mu      sync.Mutex
+	process *process
+}
+
+func newMachine(r *run, index int, withDisk bool) *machine {
+	kind := "agent"
+	if withDisk {
+		kind = "core"
+	}
+	m := &machine{run: r, index: index, name: fmt.Sprintf("%s-%d", kind, index), zone: fmt.Sprintf("z%d", index%3)}
+	m.host = r.network.addHost(fmt.Sprintf("10.0.0.%d%s", index+1, port))
+	if withDisk {
+		m.media = newMedia(r.random("disk", index))
+	}
+	return m
+}
+
+// process is one life of a machine's daemon: core and hub as the daemon joins them.
+type process struct {
+	machine *machine
+	life    int
+	core    *core.Member
+	hub     *hub.Hub
+	disk    *disk
+	cancel  context.CancelFunc
+	done    chan struct{}
+	dead    atomic.Bool // what it says and does counts no more
+	last    atomic.Pointer[hub.Snapshot]
+}
+
+// running is the process, nil if there is none.
+func (m *machine) running() *process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.process
+}
+
+// start begins a life. The machine has power then.
+func (m *machine) start(ctx context.Context, first bool) {
+	m.run.network.powerOn(m.host)
+	m.lives++
+	p := &process{machine: m, life: m.lives, done: make(chan struct{})}
+	ctx, p.cancel = context.WithCancel(ctx)
+	over := dialer{host: m.host, end: ctx.Done()}
+	pool := rpc.NewPoolOver(over)
+	if err := p.open(pool, over, first); err != nil {
+		m.run.referee.violate(m.name, "the process does not start: %v", err)
+		p.cancel()
+		return
+	}
+	table := rpc.NewTable()
+	p.core.Declare(table)
+	p.hub.Declare(table)
+	listener := m.host.listen()
+	m.mu.Lock()
+	m.process = p
+	m.mu.Unlock()
+	m.run.log("%s starts life %d", m.name, p.life)
+	go func() { // ends with ctx; stop waits for it
+		defer close(p.done)
+		var parts sync.WaitGroup
+		parts.Go(func() { _ = rpc.Serve(ctx, listener, table) })
+		parts.Go(func() { _ = p.core.Run(ctx) })
+		parts.Go(func() { _ = p.hub.Run(ctx) })
+		parts.Go(func() { p.readNewest(ctx) })
+		<-ctx.Done()
+		pool.Close()
+		parts.Wait()
+	}()
+}
+
+// open makes the parts of the process.
+func (p *process) open(pool *rpc.Pool, over rpc.Dialer, first bool) (err error) {
+	m := p.machine
+	o := core.Options{Addr: m.host.addr, Zone: m.zone, FirstStart: first, Seeds: m.run.seedAddrs, Known: p.knownAddrs,
+		Losses: m.run.setup.losses, Counted: m.media != nil, Pool: pool, Check: checkOrder,
+		OnCommit: func(v chain.Value) { p.hub.Commit(v.Seq, v.Body) },
+		OnView:   func(v view.View) { m.run.referee.learned(p, v) }}
+	h := hub.Options{Self: hub.Member{Name: m.name, Addr: m.host.addr, Zone: m.zone, Region: "r"}, Beat: beatEvery,
+		Seeds: m.run.seedAddrs, Dialer: over, OnChange: func(s *hub.Snapshot) { m.run.referee.inForce(p, s) }}
+	if m.media != nil {
+		p.disk = openDisk(m.media, m.host)
+		o.HasDisk, o.Dir, o.Disk = true, m.name, p.disk
+	}
+	if p.core, err = core.Open(o); err != nil {
+		return err
+	}
+	if m.media != nil {
+		h.Save = func(b []byte) error { return p.core.Save(savedServers, b) }
+		h.Saved, _ = p.core.Saved(savedServers)
+	}
+	h.Core = coreView{p.core}
+	p.hub = hub.New(h)
+	return nil
+}
+
+func checkOrder(current []byte, o *chain.Order) ([]byte, int64, error) {
+	return conf.Next(current, o.Patch, o.Body)
+}
+
+func (p *process) knownAddrs() (out []string) {
+	if p.hub == nil {
+		return nil
+	}
+	for _, m := range p.hub.Others(true) {
+		out = append(out, m.Addr)
+	}
+	return out
+}
+
+// readNewest asks the core once for the newest configuration, as the daemon does.
+func (p *process) readNewest(ctx context.Context) {
+	for ctx.Err() == nil {
+		once, cancel := context.WithTimeout(ctx, newestWait)
+		v, err := p.core.Read(once)
+		cancel()
+		if err == nil {
+			if v.Seq > 0 {
+				p.hub.Commit(v.Seq, v.Body)
+			}
+			p.hub.Newest()
+			return
+		}
+		pause(ctx, newestPause)
+	}
+}
+
+// coreView is what the hub asks of the core's member, as in the daemon.
+type coreView struct{ member *core.Member }
+
+func (c coreView) IsCore() bool { return c.member.IsCore() }
+func (c coreView) Linked() bool { return c.member.Linked() }
+func (c coreView) Hubs() (out []hub.Peer) {
+	v, _ := c.member.View()
+	for _, p := range v.Voters {
+		out = append(out, hub.Peer{Addr: p.Addr, Zone: p.Zone})
+	}
+	return out
+}
+
+// kill ends the process at once; with powerLoss its machine falls silent, too, until its next start.
+func (m *machine) kill(powerLoss bool) {
+	m.mu.Lock()
+	p := m.process
+	m.process = nil
+	m.mu.Unlock()
+	if powerLoss {
+		m.run.network.powerOff(m.host)
+	} else {
+		m.run.network.endProcess(m.host)
+	}
+	if p == nil {
+		return
+	}
+	p.dead.Store(true)
+	if p.disk != nil {
+		p.disk.end()
+	}
+	p.cancel()
+	m.run.addEnded(p.done)
+	m.run.log("%s ends life %d (power loss: %v)", m.name, p.life, powerLoss)
+}
+
+// terminate ends the process as the daemon does after SIGTERM.
+func (m *machine) terminate(ctx context.Context) {
+	p := m.running()
+	if p == nil {
+		return
+	}
+	m.run.log("%s is told to end", m.name)
+	p.hub.Ending()
+	grace, cancel := context.WithTimeout(ctx, endGrace)
+	p.core.Handover(grace)
+	cancel()
+	bye, cancel := context.WithTimeout(ctx, byeWait)
+	p.hub.Bye(bye)
+	cancel()
+	if m.running() == p {
+		m.kill(false)
+	}
+}
+
+// pause waits for a time or ctx.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
