Read a server's answer while the body is sent, and take a cut body for one that may run

Cause: the whole request was written before anything was read, and any write that fell short counted as "not sent". A server that had begun on the head and a part of the body was followed by a second one, also where the route may run once; an answer that came before the body was read waited for the body, and the client was told 503, "not run". Change: the head and up to 16 KiB of the body go out in one write; the rest is written by a goroutine that pool.close waits for, while the answer is read. Only a head that did not leave whole proves that the request can't run.

--- a/internal/door/pool.go
+++ b/internal/door/pool.go
@@ -40,6 +40,8 @@
 	since time.Time     // idle since
 	keep  time.Duration // as the server says
 	slot  int
+	// upload is the sending of the request that is under way.
+	upload upload
 }
 
 // pool keeps idle connections to servers and bounds all there are. http.Transport is not used on
@@ -146,8 +148,10 @@
 	p.mu.Unlock()
 }
 
+// close ends a connection, and waits for what is still being written on it, which that ends.
 func (p *pool) close(cn *conn) {
 	cn.Close()
+	cn.upload.wait()
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
--- /dev/null
+++ b/internal/door/send.go
@@ -0,0 +1,59 @@
+package door
+
+// bodyWithHead is how much of a body goes out in one write with the head, before anything is read:
+// about what a connection takes without waiting for the server.
+const bodyWithHead = 16 << 10
+
+// upload is the sending of what did not go out with a request's head. It goes on while the answer
+// is read: a server may answer before it has read a long body. The zero upload is complete.
+type upload struct {
+	done chan struct{} // closed once nothing more is written; nil: it was sent at once
+	err  error         // why it is not complete; set before done is closed
+}
+
+// wait returns once nothing more is written. The end of the connection or of its time brings that about.
+func (u *upload) wait() {
+	if u.done != nil {
+		<-u.done
+	}
+}
+
+// running tells whether there is still something being written.
+func (u *upload) running() bool {
+	if u.done == nil {
+		return false
+	}
+	select {
+	case <-u.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// complete tells whether all was written.
+func (u *upload) complete() bool { return !u.running() && u.err == nil }
+
+// send writes a request: its head and the start of its body at once, and what is left of a long
+// body in a goroutine, which pool.close waits for. The error is nil where the head has left whole:
+// from then on the server may run the request, whether or not the rest of the body follows. An
+// error proves that it can't: no server can run half a head.
+func (cn *conn) send(head, body []byte) error {
+	first := min(len(body), bodyWithHead)
+	n, err := cn.Write(append(head, body[:first]...))
+	cn.upload = upload{err: err}
+	if n < len(head) {
+		return err
+	}
+	if rest := body[first:]; err == nil && len(rest) > 0 {
+		cn.upload.done = make(chan struct{})
+		go cn.sendRest(rest)
+	}
+	return nil
+}
+
+// sendRest writes what is left of a body.
+func (cn *conn) sendRest(rest []byte) {
+	_, cn.upload.err = cn.Write(rest)
+	close(cn.upload.done)
+}
--- a/internal/door/serve.go
+++ b/internal/door/serve.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
-
-	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/h1"
 	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/pick"
@@ -172,145 +167,6 @@
 	}
 }
 
-// attempt offers the request to one server and passes its answer on.
-func (d *Door) attempt(ctx context.Context, a *answer, r *request, dec pick.Decision) (out outcome) {
-	in := dec.Server
-	how := pick.Cancelled
-	defer func() { d.end(dec.Attempt, how) }()
-	cn, fresh, err := d.pool.get(ctx, in, r.deadline)
-	if err != nil {
-		switch {
-		case ctx.Err() == context.Canceled:
-			d.Figures.Left.Add(1)
-			return left
-		case errors.Is(err, errTooMany), errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE),
-			errors.Is(err, syscall.EADDRNOTAVAIL), errors.Is(err, syscall.ENOBUFS):
-		default:
-			how = pick.ConnectFailed
-		}
-		return notSent
-	}
-	reusable := false
-	stop := context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
-	defer func() {
-		if stop() && reusable {
-			d.pool.put(cn)
-		} else {
-			d.pool.close(cn)
-		}
-	}()
-	// A connect may have taken long: nothing is begun on a server that was told to drain meanwhile.
-	if d.snap.Load().List.ByID[in.ID] == nil {
-		reusable = true
-		return notSent
-	}
-	priority := dec.Priority
-	if r.header.Get(hPriority) != "" {
-		priority = -1
-	}
-	head := r.head(in.ID, priority, time.Until(r.deadline), a.last)
-	cn.SetWriteDeadline(r.deadline)
-	n, err := cn.Write(append(head, r.body...))
-	if err != nil && n < len(head)+len(r.body) {
-		// The last byte never left, and the connection is closed: it can't run.
-		d.pool.ages.Count(cn.slot, !fresh)
-		if ctx.Err() != nil {
-			return d.gone(ctx, notSent)
-		}
-		how = pick.ConnectFailed
-		if !fresh {
-			how = pick.Cancelled // the server closed a kept connection: nothing is wrong with it
-		}
-		return notSent
-	}
-	d.mu.Lock()
-	dec.Attempt.Sent(d.now())
-	notice, work := dec.Attempt.Notice()
-	d.mu.Unlock()
-	if d.Notify != nil {
-		d.Notify(notice, work)
-	}
-	resp, err := d.answerHead(ctx, cn, a, r)
-	if err != nil {
-		if ctx.Err() != nil {
-			how = pick.Timeout
-			if ctx.Err() == context.Canceled {
-				how = pick.Cancelled
-			}
-			return d.gone(ctx, mayRun)
-		}
-		d.pool.ages.Count(cn.slot, !errors.Is(err, h1.ErrSpoilt) && !timedOut(err))
-		how = broken(err)
-		return mayRun
-	}
-	d.pool.ages.Count(cn.slot, false)
-	cn.keep = keepFor(resp.Header.Get("Keep-Alive"))
-	d.mu.Lock()
-	dec.Attempt.Head(d.now(), resp.StatusCode, load(resp.Header.Get(hLoad)))
-	d.mu.Unlock()
-	switch {
-	case resp.StatusCode >= 200 && resp.StatusCode < 300:
-		if resp.Header.Get(hSeal) == "" || resp.Header.Get("Content-Encoding") != "" {
-			how = pick.Broken
-			return mayRun
-		}
-		if r.Route.Kind == conf.Streaming && r.method != http.MethodHead {
-			out, how, reusable = d.stream(ctx, cn, a, r, resp, dec.Attempt)
-		} else {
-			out, how, reusable = d.success(ctx, cn, a, r, resp)
-		}
-		reusable = reusable && !resp.Close
-		return out
-	}
-	body, err := readWhole(cn.br, resp, r.method)
-	if err != nil {
-		if ctx.Err() != nil {
-			return d.gone(ctx, mayRun)
-		}
-		how = broken(err)
-		if resp.StatusCode == http.StatusMisdirectedRequest {
-			how = pick.WrongInstance
-			return notRun
-		}
-		if resp.Header.Get(hNotRun) != "" {
-			how = pick.NotRun
-			return notRun
-		}
-		return mayRun
-	}
-	reusable = !resp.Close
-	switch code := resp.StatusCode; {
-	case code == http.StatusMisdirectedRequest:
-		how = pick.WrongInstance
-		return notRun
-	case resp.Header.Get(hNotRun) != "":
-		how = pick.NotRun
-		if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && s > 0 && s < 60 {
-			a.retryIn = time.Duration(s * float64(time.Second))
-		}
-		if code == http.StatusBadRequest {
-			how = pick.ClientError
-		}
-		return notRun
-	case code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests || code == http.StatusRequestTimeout:
-		// Without the server's word these promise nothing here, and would to the client.
-		how = pick.ServerError
-		return mayRun
-	case code >= 500:
-		how = pick.ServerError
-		a.first = &failure{code, resp.Header, body}
-		return mayRun
-	default:
-		how = pick.ClientError
-		if a.begun {
-			return mayRun
-		}
-		d.Figures.Failed.Add(1)
-		d.whole(a, &failure{code, resp.Header, body})
-		return done
-	}
-}
-
 // gone tells a client that left from a deadline that passed.
 func (d *Door) gone(ctx context.Context, otherwise outcome) outcome {
 	if ctx.Err() == context.Canceled {
@@ -320,89 +176,6 @@
 	return otherwise
 }
 
-// answerHead reads the head of the answer to the request. An answer that carries another id is a
-// surplus one of an earlier request, and is passed over whole.
-func (d *Door) answerHead(ctx context.Context, cn *conn, a *answer, r *request) (*http.Response, error) {
-	for range 3 {
-		if err := d.await(ctx, cn, a, r); err != nil {
-			return nil, err
-		}
-		resp, err := h1.ReadAnswerHead(cn.br)
-		if err != nil {
-			return nil, err
-		}
-		if resp.Header.Get(hID) == r.id {
-			return resp, nil
-		}
-		if resp.Header.Get(hID) == "" {
-			if resp.StatusCode == http.StatusBadRequest && resp.Header.Get(hNotRun) != "" {
-				return resp, nil // it could not read ours
-			}
-			return nil, h1.Spoilt("an answer to no request")
-		}
-		if _, err := readWhole(cn.br, resp, r.method); err != nil {
-			return nil, err
-		}
-	}
-	return nil, h1.Spoilt("surplus answers")
-}
-
-// patience is until when a server is waited for. One that is silent over a stream that another may
-// resume is left for another; for all else silence is no reason to end an answer sooner.
-func (d *Door) patience(a *answer, r *request) time.Time {
-	if !r.Route.Idempotent() || r.Route.MaxAttempts <= len(r.Tried)+1 {
-		return r.deadline
-	}
-	wait := time.Duration(firstWait * float64(r.Setpoint))
-	if a.begun {
-		wait = pauseWait * time.Duration(r.Route.GapAimMs) * time.Millisecond
-	}
-	if by := time.Now().Add(max(wait, leastWait)); by.Before(r.deadline) {
-		return by
-	}
-	return r.deadline
-}
-
-// await waits for more of an answer: as long as patience says, and on where the budget has no room
-// for another server.
-func (d *Door) await(ctx context.Context, cn *conn, a *answer, r *request) error {
-	by := d.patience(a, r)
-	for {
-		cn.SetReadDeadline(by)
-		if ctx.Err() != nil {
-			return ctx.Err() // the deadline that its end has set was just overwritten
-		}
-		if cn.br.Buffered() == 0 {
-			_, err := cn.br.Peek(1)
-			if timedOut(err) && by.Before(r.deadline) && !d.pay(a, r) {
-				by = r.deadline
-				continue
-			}
-			if err != nil {
-				return noEOF(err)
-			}
-		}
-		cn.SetReadDeadline(r.deadline)
-		return ctx.Err()
-	}
-}
-
-func timedOut(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
-
-// broken maps what ended an attempt after the request was sent.
-func broken(err error) pick.End {
-	switch {
-	case errors.Is(err, h1.ErrSpoilt):
-		return pick.Broken
-	case timedOut(err):
-		return pick.Timeout
-	}
-	return pick.Reset
-}
-
 // load reads what a server tells of its load: running, waiting, slots.
 func load(field string) *pick.Load {
 	p := strings.Split(field, ",")
@@ -437,42 +210,6 @@
 	}
 }
 
-// success passes on an answer that is no stream. Up to maxWhole it is held until it is whole; of a
-// longer one the client sees by its length or its last chunk whether it was.
-func (d *Door) success(ctx context.Context, cn *conn, a *answer, r *request, resp *http.Response) (outcome, pick.End, bool) {
-	src, err := bodyOf(cn.br, resp, r.method)
-	if err != nil {
-		return mayRun, broken(err), false
-	}
-	cn.SetReadDeadline(r.deadline)
-	body, err := io.ReadAll(io.LimitReader(src, maxWhole+1))
-	switch {
-	case err != nil && ctx.Err() != nil:
-		return d.gone(ctx, mayRun), pick.Cancelled, false
-	case err != nil:
-		return mayRun, broken(err), false
-	case len(body) <= maxWhole:
-		d.Figures.Served.Add(1)
-		d.whole(a, &failure{resp.StatusCode, resp.Header, body})
-		return done, pick.Served, true
-	}
-	copyHead(a.w.Header(), resp.Header)
-	if resp.ContentLength >= 0 {
-		a.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
-	}
-	_ = a.rc.SetWriteDeadline(r.deadline.Add(writeTime)) // best effort: the client's own time bounds it, too
-	a.w.WriteHeader(resp.StatusCode)
-	if _, err = a.w.Write(body); err == nil {
-		_, err = io.Copy(a.w, src)
-	}
-	if err != nil {
-		d.Figures.Cut.Add(1)
-		return left, broken(err), false
-	}
-	d.Figures.Served.Add(1)
-	return done, pick.Served, true
-}
-
 // check asks a server for its health in the background.
 func (d *Door) check(ctx context.Context, in *inst.Instance) {
 	ok, l := d.checkOne(ctx, in)
--- a/internal/door/stream.go
+++ b/internal/door/stream.go
@@ -113,7 +113,8 @@
 // stream passes the events of a server's answer on as they come, whole ones only. Ids that do not
 // follow on each other are not this stream's: it is broken there, and goes on at another server
 // where it may be resumed.
-func (d *Door) stream(ctx context.Context, cn *conn, a *answer, r *request, resp *http.Response, at *pick.Attempt) (outcome, pick.End, bool) {
+func (t *attempt) stream(ctx context.Context, resp *http.Response) (outcome, pick.End, bool) {
+	d, cn, a, r := t.door, t.cn, t.answer, t.request
 	body, err := bodyOf(cn.br, resp, r.method)
 	if err != nil {
 		return mayRun, pick.Broken, false
@@ -123,7 +124,7 @@
 	for {
 		n, err := 0, error(nil)
 		if c, ok := body.(*counted); !ok || c.left > 0 {
-			err = d.await(ctx, cn, a, r)
+			err = t.await(ctx)
 		}
 		if err == nil {
 			n, err = body.Read(chunk)
@@ -138,7 +139,7 @@
 			buf = append(buf[:0], buf[whole:]...)
 			now := d.now()
 			d.mu.Lock()
-			at.Event(now, events)
+			t.decision.Attempt.Event(now, events)
 			d.mu.Unlock()
 		}
 		switch {
