Refuse requests of doubtful framing below net/http

Cause: net/http reads a length beside chunks, and folded header lines, as RFC 9112 lets a server, and takes what stands behind them for the next request (request smuggling). Change: a scanner follows the bytes of each client connection below net/http: request lines, fields, lengths, chunks, trailers. At the first byte that leaves a doubt where a request ends, the connection brings a broken message in place of the rest. net/http answers that with 400 and closes, after the answers to the requests ahead of it; an error in its place would cancel those. No bytes are copied or kept but the start of a field's name. Beyond RFC 9112: one Content-Length in digits, Transfer-Encoding as `chunked` in lower case, CRLF alone as a line end, no white space around a chunk size, HTTP/1.0 and 1.1 only. Up to two empty lines ahead of a request are still skipped, as net/http does behind a POST. Event E330 names the doubt.

--- a/internal/door/bench_test.go
+++ b/internal/door/bench_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -15,11 +16,6 @@
 // The benchmarks pass requests through a door from one client to one server, whose own part is
 // kept as small as it gets: they read lines until one that ends a message, and write fixed bytes.
 func BenchmarkRequest(b *testing.B) {
-	fields := hModel + ": m\r\n" + hTokens + ": 1460,80\r\n" + hPrefix + ": 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n" + hDeadline + ": 20000\r\n"
-	body := strings.Repeat("x", 1000) + "\n#end\n"
-	head := func(path string) string {
-		return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\n" + hID + ": 9c41d07be2a35f68\r\n" + fields + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
-	}
 	first := "HTTP/1.1 200 OK\r\n" + hID + ": 9c41d07be2a35f68\r\n" + hSeal + ": 3e1b.07.5a2.600.0.c9f2a4d1\r\n" + hLoad + ": 3,0,64\r\nKeep-Alive: timeout=20\r\n"
 	for _, c := range []struct {
 		name, path string
@@ -57,7 +53,7 @@
 			w.add(s, "s")
 			w.update(w.doc(""))
 			cl := w.dial()
-			request := []byte(head(c.path))
+			request := []byte(benchRequest(c.path))
 			end := "#end\n"
 			if len(c.answer) > 1 {
 				end = "0\r\n"
@@ -79,6 +75,55 @@
 	}
 }
 
+// BenchmarkFraming reads the head of a request and its body from a connection in memory, as it is
+// and with its framing watched.
+func BenchmarkFraming(b *testing.B) {
+	request := []byte(benchRequest("/once/x"))
+	for _, c := range []struct {
+		name    string
+		watched bool
+	}{{"plain", false}, {"watched", true}} {
+		b.Run(c.name, func(b *testing.B) {
+			source := &repeatedConn{data: request}
+			var conn net.Conn = source
+			if c.watched {
+				conn = &framingConn{Conn: source}
+			}
+			br := bufio.NewReader(conn)
+			b.ReportAllocs()
+			b.SetBytes(int64(len(request)))
+			for b.Loop() {
+				req, err := http.ReadRequest(br)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := io.Copy(io.Discard, req.Body); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// repeatedConn brings one request again and again.
+type repeatedConn struct {
+	net.Conn
+	data []byte
+	at   int
+}
+
+func (c *repeatedConn) Read(p []byte) (int, error) {
+	n := copy(p, c.data[c.at:])
+	c.at = (c.at + n) % len(c.data)
+	return n, nil
+}
+
+func benchRequest(path string) string {
+	fields := hModel + ": m\r\n" + hTokens + ": 1460,80\r\n" + hPrefix + ": 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n" + hDeadline + ": 20000\r\n"
+	body := strings.Repeat("x", 1000) + "\n#end\n"
+	return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\n" + hID + ": 9c41d07be2a35f68\r\n" + fields + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
+}
+
 func pieces(first string, n int) []string {
 	out := []string{first + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"}
 	for i := 1; i <= n; i++ {
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -146,7 +146,8 @@
 
 // Serve takes clients until Shutdown.
 func (d *Door) Serve(ln net.Listener) error {
-	if err := d.server.Serve(&h1.Listener{Listener: ln, Held: &d.held}); !errors.Is(err, http.ErrServerClosed) {
+	watched := &framingListener{Listener: ln, rejected: &d.Figures.Rejected}
+	if err := d.server.Serve(&h1.Listener{Listener: watched, Held: &d.held}); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve clients")
 	}
 	return nil
--- a/internal/event/table.go
+++ b/internal/event/table.go
@@ -26,8 +26,9 @@
 	SessionSending ID = 231
 	SessionOver    ID = 232
 
-	BrokenOff ID = 310
-	Refused   ID = 320
+	BrokenOff       ID = 310
+	Refused         ID = 320
+	DoubtfulFraming ID = 330
 
 	DiskDamaged    ID = 400
 	DiskTorn       ID = 401
@@ -69,6 +70,7 @@
 
 	{BrokenOff, "requests broken off at the end of the grace", "streams were longer than `grace-s`", "platform, if it comes often: a longer grace", always},
 	{Refused, "refused", "a request was told when to come back; `why` tells for want of what", "operator, if it comes often: more servers", requests},
+	{DoubtfulFraming, "request of doubtful framing", "a client sent what HTTP implementations split in different ways; it got 400, and nothing behind it was read", "the client's owner: mend what `err` names", requests},
 
 	{DiskDamaged, "state file was damaged and is set aside; the machine rejoins as a new one", "what is in the file is not what was written", "on-call: replace the disk if it comes again; keep the `.damaged` file for a look with `edgectl state verify`", always},
 	{DiskTorn, "torn write cut off the state file", "power was lost during a write; nothing acknowledged was in it", "nobody", always},
