Wait for a request's route in a test without taking its memory

Cause: TestRoutesChangeWhileABodyComes asked for all memory of bodies each millisecond to see whether the request held some. In the instant in which the test holds it the request finds none and gets 503, and the test waits for ever. Change: the request expects 100-continue, which is sent after its route was found.

--- a/internal/door/request_test.go
+++ b/internal/door/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -195,8 +196,7 @@
 	c := w.dial()
 	// To another service, and to none.
 	w.update(w.doc(""))
-	c.send(head("POST", "/once/moved/x", "Content-Length: 40000\r\n") + strings.Repeat("x", 30000))
-	require.Eventually(t, func() bool { return !w.door.memory.TryAcquire(256<<20/4) || release(w) }, patience, time.Millisecond)
+	c.begin("/once/moved/x")
 	w.update(w.doc(`,{"name":"moved","hostname":"h.example","path-prefix":"/once/moved/","route-kind":"unsafe","timeout-ms":10000,"target-service":"t"}`))
 	c.send(strings.Repeat("x", 10000))
 	resp, _ := c.whole()
@@ -204,8 +204,7 @@
 	require.Same(t, other, w.next().server)
 
 	w.update(w.doc(`,{"name":"gone","hostname":"h.example","path-prefix":"/gone/","route-kind":"unsafe","timeout-ms":10000,"target-service":"t"}`))
-	c.send(head("POST", "/gone/x", "Content-Length: 40000\r\n") + strings.Repeat("x", 30000))
-	require.Eventually(t, func() bool { return !w.door.memory.TryAcquire(256<<20/4) || release(w) }, patience, time.Millisecond)
+	c.begin("/gone/x")
 	w.update(w.doc(""))
 	c.send(strings.Repeat("x", 10000))
 	resp, _ = c.whole()
@@ -213,6 +212,14 @@
 	w.none()
 }
 
+// begin sends a request's head and most of its body. The door has found its route when it returns:
+// it asks for the body after that.
+func (c *client) begin(path string) {
+	c.send(head("POST", path, "Expect: 100-continue\r\nContent-Length: 40000\r\n"))
+	require.Equal(c.t, http.StatusContinue, c.head().StatusCode)
+	c.send(strings.Repeat("x", 30000))
+}
+
 // freed checks that the memory of bodies is given back.
 func (w *world) freed() {
 	require.Eventually(w.t, func() bool { return w.door.memory.TryAcquire(256 << 20 / 4) }, patience, time.Millisecond)
