Join only pieces of one version, and take an answer without length whole on a close

Two concerns in one commit, as their lines in stream.go interlock. Cause: the version that answers and events carry was not read: a stream that broke off went on at any server, and pieces made with different weights were joined; a 421 for the version took the server off the list as another instance. And a server's answer may have no length and end with its connection; each was refused as spoilt. Change: the last version in what the client has got goes out as Expect-Version with the send that goes on, unless the client named its own, which is passed on as it came. The head of the continuing answer and its first event have to carry that version; if not, the connection is closed and the next server tried. A 421 to a request with Expect-Version says nothing of the server. In request.go: one parameter and one field of the head. A body without length is read to the end of the connection. A close ends it, a reset does not; nor does any end before the request was sent whole, as the failed write may have been told of the reset in place of the read. A surplus answer without length, and one in HTTP/1.0, whose chunks Go's reader does not tell of, stay spoilt.

--- a/internal/door/attempt.go
+++ b/internal/door/attempt.go
@@ -102,7 +102,7 @@
 	if r.header.Get(hPriority) != "" {
 		priority = -1
 	}
-	head := r.head(t.decision.Server.ID, priority, time.Until(r.deadline), t.answer.last)
+	head := r.head(t.decision.Server.ID, priority, time.Until(r.deadline), t.answer.last, t.expectedVersion())
 	if err := t.cn.send(head, r.body); err != nil {
 		return err
 	}
@@ -116,6 +116,15 @@
 	return nil
 }
 
+// expectedVersion is the version that the server has to have: what the client says, or that of the
+// events that the client has got.
+func (t *attempt) expectedVersion() string {
+	if own := t.request.header.Get(hExpectVersion); own != "" || !t.answer.begun {
+		return own
+	}
+	return t.answer.version
+}
+
 // notSent classifies a request whose head did not leave whole.
 func (t *attempt) notSent(ctx context.Context) outcome {
 	t.door.pool.ages.Count(t.cn.slot, !t.fresh)
@@ -149,7 +158,10 @@
 			}
 			return nil, h1.Spoilt("an answer to no request")
 		}
-		if _, err := readWhole(cn.br, resp, r.method); err != nil {
+		if endsWithConnection(resp, r.method) {
+			return nil, h1.Spoilt("a surplus answer without length")
+		}
+		if _, err := readWhole(cn, resp, r.method); err != nil {
 			return nil, err
 		}
 	}
@@ -198,7 +210,7 @@
 // failed classifies a response that is no success, and passes on what another server would answer
 // as well.
 func (t *attempt) failed(ctx context.Context, resp *http.Response) outcome {
-	body, err := readWhole(t.cn.br, resp, t.request.method)
+	body, err := readWhole(t.cn, resp, t.request.method)
 	if err != nil && ctx.Err() != nil {
 		return t.door.gone(ctx, mayRun)
 	}
@@ -231,6 +243,9 @@
 // promised tells whether the server says that it has not run the request. Its head is enough.
 func (t *attempt) promised(resp *http.Response) bool {
 	switch {
+	case resp.StatusCode == http.StatusMisdirectedRequest && t.expectedVersion() != "":
+		t.end = pick.ClientError // it may have other weights, and be the server that is listed
+		return true
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		t.end = pick.WrongInstance
 		return true
@@ -312,7 +327,7 @@
 // longer one the client sees by its length or its last chunk whether it was.
 func (t *attempt) success(ctx context.Context, resp *http.Response) (outcome, pick.End, bool) {
 	d, cn, a, r := t.door, t.cn, t.answer, t.request
-	src, err := bodyOf(cn.br, resp, r.method)
+	src, err := bodyOf(cn, resp, r.method)
 	if err != nil {
 		return mayRun, broken(err), false
 	}
--- a/internal/door/request.go
+++ b/internal/door/request.go
@@ -223,7 +223,7 @@
 
 // head is the request's head as it goes to a server. The target is what the client sent:
 // http.Request would write another form of it.
-func (r *request) head(instance string, priority int, left time.Duration, last string) []byte {
+func (r *request) head(instance string, priority int, left time.Duration, last, version string) []byte {
 	h := h1.EndToEnd(r.header)
 	h.Del("Content-Length")
 	h.Del("Host")
@@ -236,6 +236,9 @@
 	if last != "" {
 		h.Set(hLast, last)
 	}
+	if version != "" {
+		h.Set(hExpectVersion, version)
+	}
 	if len(r.body) > 0 || r.method != http.MethodGet && r.method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(r.body)))
 	}
--- a/internal/door/serve.go
+++ b/internal/door/serve.go
@@ -49,6 +49,8 @@
 	begun   bool   // the head has been sent
 	last    string // id of the last event that was sent, or that the client named
 	next    int64  // the id that follows it; 0: not known yet
+	version string // of the weights that made the last event that was sent; "" if none is told
+	joining bool   // the next event is the first of another server
 	first   *failure
 	retryIn time.Duration
 	paid    bool // the budget has room for one more send, and has counted it
@@ -247,7 +249,7 @@
 	if err != nil {
 		return false, nil
 	}
-	if _, err := readWhole(cn.br, resp, http.MethodGet); err != nil {
+	if _, err := readWhole(cn, resp, http.MethodGet); err != nil {
 		return false, nil
 	}
 	reusable = !resp.Close
--- a/internal/door/stream.go
+++ b/internal/door/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httputil"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,6 +17,13 @@
 	"chalkdoor.example/chalkdoor/internal/pick"
 )
 
+// The header fields of the version of a server's weights: what an answer was made with, and what a
+// request is to be run with.
+const (
+	hVersions      = "Versions"
+	hExpectVersion = "Expect-Version"
+)
+
 const (
 	// maxWhole is up to how many bytes an answer is held whole, maxFailure bounds one that is no
 	// success or belongs to no request, maxEvent one event of a stream.
@@ -25,18 +33,43 @@
 )
 
 // bodyOf reads a body as it comes; at io.EOF it was whole, any other error says it was not.
-func bodyOf(br *bufio.Reader, resp *http.Response, method string) (io.Reader, error) {
+func bodyOf(cn *conn, resp *http.Response, method string) (io.Reader, error) {
+	br := cn.br
 	switch {
-	case method == http.MethodHead, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+	case bodiless(resp, method):
 		return bytes.NewReader(nil), nil
 	case len(resp.TransferEncoding) > 0:
 		return &chunked{r: httputil.NewChunkedReader(br), br: br}, nil
 	case resp.ContentLength >= 0:
 		return &counted{br, resp.ContentLength}, nil
 	}
-	// It would end where the connection does, and nothing could tell a whole answer from one that
-	// was cut off.
-	return nil, h1.Spoilt("an answer without length")
+	if !resp.ProtoAtLeast(1, 1) { // its chunks, if it has any, were not told of
+		return nil, h1.Spoilt("an answer without length in %s", resp.Proto)
+	}
+	return &untilClose{cn}, nil
+}
+
+// bodiless tells whether an answer has no body whatever its head says.
+func bodiless(resp *http.Response, method string) bool {
+	return method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+}
+
+// endsWithConnection tells whether an answer has no length and ends where its connection does.
+func endsWithConnection(resp *http.Response, method string) bool {
+	return !bodiless(resp, method) && len(resp.TransferEncoding) == 0 && resp.ContentLength < 0
+}
+
+// untilClose reads a body that ends with its connection. It is whole only if the server closed the
+// connection; a reset comes as an error. Where the request was not sent whole the two can't be told
+// apart: the write that failed may have been told of the reset in place of the read.
+type untilClose struct{ cn *conn }
+
+func (u *untilClose) Read(p []byte) (int, error) {
+	n, err := u.cn.br.Read(p)
+	if err == io.EOF && !u.cn.upload.complete() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
 }
 
 type chunked struct {
@@ -87,8 +120,8 @@
 	return n, err
 }
 
-func readWhole(br *bufio.Reader, resp *http.Response, method string) ([]byte, error) {
-	r, err := bodyOf(br, resp, method)
+func readWhole(cn *conn, resp *http.Response, method string) ([]byte, error) {
+	r, err := bodyOf(cn, resp, method)
 	if err != nil {
 		return nil, err
 	}
@@ -110,22 +143,34 @@
 	return 0, false
 }
 
+// awaitBody waits for more of a body, unless nothing more of it is due.
+func (t *attempt) awaitBody(ctx context.Context, body io.Reader) error {
+	if c, ok := body.(*counted); ok && c.left == 0 {
+		return nil
+	}
+	err := t.await(ctx)
+	if _, ok := body.(*untilClose); ok && err == io.ErrUnexpectedEOF {
+		return nil // the body tells whether this is its end
+	}
+	return err
+}
+
 // stream passes the events of a server's answer on as they come, whole ones only. Ids that do not
 // follow on each other are not this stream's: it is broken there, and goes on at another server
 // where it may be resumed.
 func (t *attempt) stream(ctx context.Context, resp *http.Response) (outcome, pick.End, bool) {
 	d, cn, a, r := t.door, t.cn, t.answer, t.request
-	body, err := bodyOf(cn.br, resp, r.method)
+	body, err := bodyOf(cn, resp, r.method)
 	if err != nil {
 		return mayRun, pick.Broken, false
 	}
+	if !a.join(version(resp.Header.Get(hVersions))) {
+		return mayRun, pick.Cancelled, false // nothing is wrong with the server
+	}
 	var buf []byte
 	chunk := make([]byte, 8<<10)
 	for {
-		n, err := 0, error(nil)
-		if c, ok := body.(*counted); !ok || c.left > 0 {
-			err = t.await(ctx)
-		}
+		n, err := 0, t.awaitBody(ctx, body)
 		if err == nil {
 			n, err = body.Read(chunk)
 		}
@@ -167,6 +212,47 @@
 	}
 }
 
+// version reads the version of a server's weights; "" if none is told.
+func version(field string) string {
+	n, err := strconv.ParseUint(strings.TrimSpace(field), 10, 64)
+	if err != nil {
+		return ""
+	}
+	return strconv.FormatUint(n, 10)
+}
+
+// eventVersion is the version that an event tells of; false if it tells of none.
+func eventVersion(event []byte) (string, bool) {
+	line, _, _ := bytes.Cut(event, []byte("\n"))
+	value, ok := bytes.CutPrefix(line, []byte("versions:"))
+	return version(string(value)), ok
+}
+
+// join has a stream go by the version of the server that is to begin it or go on with it. It tells
+// whether it may: events of different versions are never joined.
+func (a *answer) join(version string) bool {
+	if a.begun && version != a.version {
+		return false
+	}
+	a.version = version
+	a.joining = a.begun
+	return true
+}
+
+// takeVersion notes the version that an event tells of, and tells whether it may follow what the
+// client has: a run may change its weights, but not at the place where it goes on with another's.
+func (a *answer) takeVersion(event []byte) bool {
+	version, told := eventVersion(event)
+	if told && a.joining && version != a.version {
+		return false
+	}
+	if told {
+		a.version = version
+	}
+	a.joining = false
+	return true
+}
+
 // take finds the whole events at the start of what has come: how many bytes, and how many events.
 // bad: what follows them is no event that is due.
 func (a *answer) take(buf []byte) (whole, events int, bad bool) {
@@ -178,7 +264,7 @@
 		event := buf[whole : whole+i+2]
 		id, ok := eventID(event)
 		switch {
-		case !ok && a.next > 0, ok && a.next > 0 && id != a.next:
+		case !ok && a.next > 0, ok && a.next > 0 && id != a.next, !a.takeVersion(event):
 			return whole, events, true
 		case ok:
 			a.next = id + 1
