Refuse a server's call that a full list can't take

Cause: a beat, drain or leave of an unknown server at a full table (8,192 instances) changed nothing and was answered as taken; the drain of a server that others list would have been lost. The calls of known servers go on. Event E221, at most once in ten seconds, says that the list is full, also when the feed brings a server that finds no room. That the event is logged at most so often is by golang.org/x/time/rate and not tested.

--- a/internal/event/table.go
+++ b/internal/event/table.go
@@ -22,6 +22,7 @@
 	OwnLapsed      ID = 210
 	Lapsed         ID = 211
 	ServerSilent   ID = 220
+	ServersFull    ID = 221
 	SessionBegun   ID = 230
 	SessionSending ID = 231
 	SessionOver    ID = 232
@@ -64,6 +65,7 @@
 	{OwnLapsed, "own lease had lapsed: going on as a new life", "the core took this agent for gone: it was frozen or cut off", "on-call, if it is not in a cut: look at the machine's processor and links", always},
 	{Lapsed, "lease lapsed: member ended", "an agent had no session with the core for a lease's time", "on-call: look at that machine", always},
 	{ServerSilent, "server fell silent", "a server missed its beats and is off the list until it beats again", "on-call, if it stays away: look at the server", control},
+	{ServersFull, "list of servers is full", "a server that is not known here was refused, or is not listed; told once in ten seconds", "on-call: look for servers that come again and again under new ids", always},
 	{SessionBegun, "session with a hub", "", "nobody", control},
 	{SessionSending, "session broken while sending", "the peer or the link went", "nobody", requests},
 	{SessionOver, "session over", "the peer ended, fell silent or was cut off; another hub is tried at once", "nobody", control},
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -45,6 +45,8 @@
 	endedFor = 60 * time.Second
 	// keepEvents is how many events of the feed are kept for operators.
 	keepEvents = 256
+	// fullReportEvery is how often it is logged that the list of servers is full.
+	fullReportEvery = 10 * time.Second
 	// maxSessions bounds the sessions of a process.
 	maxSessions = 1024
 	// maxMember bounds what an agent tells of itself, keepData what is kept of a change for operators.
@@ -135,6 +137,8 @@
 	homeless []string                 // hubs that others named
 	last     Snapshot
 	limit    *rate.Limiter // of the bytes that notices make others take
+	// fullReports bounds how often a full list is logged.
+	fullReports rate.Sometimes
 }
 
 // New returns a hub of a new life.
@@ -144,7 +148,7 @@
 	}
 	h := &Hub{o: o, start: time.Now(), members: map[string]Member{}, sessions: map[*session]bool{},
 		changed: make(chan struct{}), ended: map[string]time.Duration{}, granted: map[string]bool{}, leases: lease.New(leaseLasts),
-		limit: rate.NewLimiter(0, 100*noticeBytes), journal: ev.New[feed.Change](keepEvents)}
+		limit: rate.NewLimiter(0, 100*noticeBytes), journal: ev.New[feed.Change](keepEvents), fullReports: rate.Sometimes{Interval: fullReportEvery}}
 	h.set = feed.NewSet(h.newSource())
 	h.table = inst.NewTable(h.set.Self(), o.Beat)
 	h.journal.View(h.fold)
@@ -273,7 +277,9 @@
 		}
 		in := new(inst.Instance)
 		if err := msgpack.Unmarshal(data, in); err == nil && in.ID == id && in.Sound() {
-			h.table.Tell(now, c.Source, in)
+			if !h.table.Tell(now, c.Source, in) {
+				h.reportFull(id)
+			}
 		}
 	case strings.HasPrefix(key, leasePrefix):
 		switch agent := key[len(leasePrefix):]; {
@@ -414,12 +420,12 @@
 		return false
 	}
 	h.mu.Lock()
-	if told := h.table.Beat(h.now(), in); told != nil {
-		h.tell(instPrefix+in.ID, encode(told))
-		h.publish()
-	}
-	life, ver := h.set.Self(), h.set.Own()
+	told, err := h.table.Beat(h.now(), in)
+	life, ver := h.announceServer(in.ID, told, err)
 	h.mu.Unlock()
+	if err != nil {
+		return false
+	}
 	return in.State == inst.Ready || h.awaitReplicated(ctx, life, ver)
 }
 
@@ -429,13 +435,28 @@
 		return false
 	}
 	h.mu.Lock()
-	if told := h.table.Leave(h.now(), id); told != nil {
+	told, err := h.table.Leave(h.now(), id)
+	life, ver := h.announceServer(id, told, err)
+	h.mu.Unlock()
+	return err == nil && h.awaitReplicated(ctx, life, ver)
+}
+
+// announceServer tells all what a server's call changed, if anything, and returns the life and the
+// version of the own source that has it. The lock is held.
+func (h *Hub) announceServer(id string, told *inst.Instance, err error) (life string, version uint64) {
+	if err != nil {
+		h.reportFull(id)
+	}
+	if told != nil {
 		h.tell(instPrefix+id, encode(told))
 		h.publish()
 	}
-	life, ver := h.set.Self(), h.set.Own()
-	h.mu.Unlock()
-	return h.awaitReplicated(ctx, life, ver)
+	return h.set.Self(), h.set.Own()
+}
+
+// reportFull logs now and then that a server found no room.
+func (h *Hub) reportFull(id string) {
+	h.fullReports.Do(func() { event.ServersFull.Log("id", id) })
 }
 
 // Ending tells the others that this agent is about to end.
--- a/internal/inst/bench_test.go
+++ b/internal/inst/bench_test.go
@@ -20,7 +20,7 @@
 	t := NewTable("self", benchBeat)
 	for i := range servers {
 		if i < homes {
-			t.Beat(time.Second, benchInstance(i))
+			_, _ = t.Beat(time.Second, benchInstance(i))
 		} else {
 			t.Tell(time.Second, fmt.Sprintf("edge-%d", i%360), benchInstance(i))
 		}
@@ -36,8 +36,8 @@
 	for n := uint64(2); b.Loop(); n++ {
 		in := ins[n%2] // the table keeps the last one
 		in.Seq = n
-		if t.Beat(time.Second, in) != nil {
-			b.Fatal("told")
+		if told, err := t.Beat(time.Second, in); told != nil || err != nil {
+			b.Fatal("told", told, err)
 		}
 	}
 }
--- a/internal/inst/table.go
+++ b/internal/inst/table.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -22,6 +24,9 @@
 	wake = time.Second
 )
 
+// ErrFull answers a call of a server that the table does not know and has no room for.
+var ErrFull = errors.New("the list of servers is full: call another agent, and look for servers that come again under new ids")
+
 // record is what one source tells of an instance.
 type record struct {
 	*Instance
@@ -62,18 +67,19 @@
 }
 
 // Beat takes a server's call and returns what the own source has to tell of it: nil if nothing
-// new, or if the call is late or the instance is known to end.
-func (t *Table) Beat(now time.Duration, in *Instance) *Instance {
+// new, or if the call is late or the instance is known to end. The call of an unknown server to a
+// full table is refused by ErrFull: what it says would be lost.
+func (t *Table) Beat(now time.Duration, in *Instance) (*Instance, error) {
 	k := t.all[in.ID]
 	if k == nil && len(t.all) >= maxInstances {
-		return nil
+		return nil, ErrFull
 	}
 	if k != nil && k.best != nil {
 		if k.best.State == Gone || k.best.State == Draining && in.State == Ready {
-			return nil
+			return nil, nil
 		}
 		if in.Seq < k.best.Seq && in.State == Ready {
-			return nil // late
+			return nil, nil // late
 		}
 	}
 	h := t.homes[in.ID]
@@ -85,27 +91,27 @@
 		if in.Seq == h.last.Seq {
 			h.heard = now // the same again; a late one proves nothing
 		}
-		return nil
+		return nil, nil
 	}
 	h.last, h.heard = in, now
 	if h.told != nil && same(h.told, in) && k != nil && k.owner == t.self {
-		return nil
+		return nil, nil
 	}
 	h.told = in
 	t.Tell(now, t.self, in)
-	return in
+	return in, nil
 }
 
-// Leave takes a server's word that it ends.
-func (t *Table) Leave(now time.Duration, id string) *Instance {
+// Leave takes a server's word that it ends, as Beat does.
+func (t *Table) Leave(now time.Duration, id string) (*Instance, error) {
 	k := t.all[id]
 	if k == nil && len(t.all) >= maxInstances {
-		return nil
+		return nil, ErrFull
 	}
 	in := &Instance{ID: id, State: Gone}
 	if k != nil && k.best != nil {
 		if k.best.State == Gone {
-			return nil
+			return nil, nil
 		}
 		gone := *k.best
 		gone.State = Gone
@@ -117,7 +123,7 @@
 	in.Seq++
 	delete(t.homes, id)
 	t.Tell(now, t.self, in)
-	return in
+	return in, nil
 }
 
 // same tells whether what matters to others is alike. A cold start passes by itself.
@@ -126,18 +132,19 @@
 		a.Slots == b.Slots && a.Revision == b.Revision && slices.Equal(a.Models, b.Models)
 }
 
-// Tell takes what a source tells of an instance; nil: it tells nothing any more.
-func (t *Table) Tell(now time.Duration, source string, in *Instance) {
+// Tell takes what a source tells of an instance. False: the table is full and does not know it.
+func (t *Table) Tell(now time.Duration, source string, in *Instance) bool {
 	k := t.all[in.ID]
 	if k == nil {
 		if len(t.all) >= maxInstances {
-			return
+			return false
 		}
 		k = &known{by: map[string]record{}}
 		t.all[in.ID] = k
 	}
 	k.by[source] = record{Instance: in}
 	t.settle(now, k)
+	return true
 }
 
 // Untell takes back what a source told of an instance.
--- a/internal/inst/table_test.go
+++ b/internal/inst/table_test.go
@@ -42,10 +42,12 @@
 
 func (a *agent) call(now time.Duration, in Instance) {
 	if in.State == Gone {
-		a.put(a.Leave(now, in.ID))
+		told, _ := a.Leave(now, in.ID)
+		a.put(told)
 		return
 	}
-	a.put(a.Beat(now, &in))
+	told, _ := a.Beat(now, &in)
+	a.put(told)
 }
 
 func (a *agent) tick(now time.Duration) {
@@ -791,3 +793,34 @@
 	assert.Equal(t, uint64(2), a.set.Own())
 	assert.Equal(t, in.Models, a.List().ByID["s"].Models)
 }
+
+// A call that a full table can't take is told so; the calls of servers that it knows go on.
+func TestAFullTableRefusesUnknownServers(t *testing.T) {
+	a := newAgent("a")
+	now := time.Second
+	known := ready("known", 1)
+	_, err := a.Beat(now, &known)
+	require.NoError(t, err)
+	for i := range maxInstances - 1 {
+		in := ready(fmt.Sprint("s", i), 1)
+		require.True(t, a.Tell(now, "x", &in))
+	}
+	late, drains := ready("late", 1), draining("late", 2)
+	_, err = a.Beat(now, &late)
+	require.ErrorIs(t, err, ErrFull)
+	_, err = a.Beat(now, &drains)
+	require.ErrorIs(t, err, ErrFull, "its end would be lost")
+	_, err = a.Leave(now, "late")
+	require.ErrorIs(t, err, ErrFull)
+	require.False(t, a.Tell(now, "x", &late))
+	assert.Len(t, a.all, maxInstances)
+	known = ready("known", 2)
+	_, err = a.Beat(now, &known)
+	require.NoError(t, err)
+	told, err := a.Leave(now, "known")
+	require.NoError(t, err)
+	assert.Equal(t, Gone, told.State)
+	_, err = a.Leave(now, "s0")
+	require.NoError(t, err)
+	assert.False(t, a.lists("s0"))
+}
