Have a hub that was cut off say that it has all only once it has again

Cause: a hub that had all once said so for the rest of its life, also in the moment after a cut of twenty seconds, when an agent that starts would go by its old list and configuration; and a hub that restarts took itself for the whole core's start after 0.7 s, also while another was still sending what it knows over a slow link. Change: a machine of the core that is not in contact with a majority counts as behind, and says Full again only after a linked one that has all has sent it all, or, as at a start, when nobody who knows more has shown up in 0.7 s. What a process serves by is unchanged: it stays fresh.

--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -129,6 +129,7 @@
 	doc      *conf.Doc
 	ended    map[string]time.Duration // that this hub tells
 	synced   bool                     // had all of a hub's feed once
+	behind   bool                     // was cut off from the core since, and has not had all again
 	granted  map[string]bool          // sources that it holds leases of
 	linked   time.Duration            // since when it is of the core and linked; 0: it is not
 	attached time.Duration            // since when it has a session with a linked hub; 0: it has none
@@ -583,10 +584,15 @@
 	}
 	since(&h.linked, now, core && linked)
 	since(&h.attached, now, attached)
-	if core && linked && !h.synced && h.newest && (now-h.linked > aloneFor || h.alone(hubs)) {
-		// Nobody who could know more has shown up: the whole core has just started.
-		h.synced = true
-		event.SyncedAlone.Log("config", h.seq, "linked", now-h.linked)
+	if core && !linked {
+		h.behind = true
+	}
+	if core && linked && !h.hasAll() && h.newest && (now-h.linked > aloneFor && !h.beingTold() || h.alone(hubs)) {
+		// Nobody who could know more has shown up: the whole core has just started, or joined again.
+		if !h.synced {
+			event.SyncedAlone.Log("config", h.seq, "linked", now-h.linked)
+		}
+		h.synced, h.behind = true, false
 		h.wake()
 	}
 	h.grant(core)
@@ -638,6 +644,20 @@
 }
 
 // alone tells whether all other machines of the core are here, and none of them knows all either:
+// hasAll tells whether this process has had all that a hub knows, and was not cut off from the core
+// since.
+func (h *Hub) hasAll() bool { return h.synced && !h.behind }
+
+// beingTold tells whether a machine of the core is still sending its first deltas.
+func (h *Hub) beingTold() bool {
+	for s := range h.sessions {
+		if s.core && !s.said {
+			return true
+		}
+	}
+	return false
+}
+
 // then there is nobody who does.
 func (h *Hub) alone(hubs []Peer) bool {
 	full := map[string]bool{}
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -222,8 +222,12 @@
 		s.replicated = m.Replicated
 		h.wake()
 	}
-	if s.core && m.Linked && m.Full && !h.synced && (linked || !core) {
-		h.synced = true // a message says Full only after all that its sender has: see send
+	if !s.core || !m.Linked || !m.Full || core && !linked {
+		return
+	}
+	h.behind = false // a message says Full only after all that its sender has: see send
+	if !h.synced {
+		h.synced = true
 		event.Synced.Log("peer", s.peer, "config", h.seq)
 		h.publish()
 	}
@@ -267,7 +271,7 @@
 		for _, d := range m.Deltas {
 			s.has[d.Source] = d.Upto
 		}
-		m.Got, m.Full, m.Held = h.set.Had(s.source), h.synced, h.acknowledge(s)
+		m.Got, m.Full, m.Held = h.set.Had(s.source), h.hasAll(), h.acknowledge(s)
 		if m.Core && !s.core {
 			m.Replicated = h.replicatedVersion(s.source, hubs)
 		}
