Return agents to a hub of their zone once it is well

Cause: after a failover an agent stayed with a hub of another zone for good. Change: an agent whose hub is of another zone tries all hubs of its own 2 to 6 s after it came there, at a random moment, and again after such a time. It keeps its old session until the new one is with a linked hub that has given it everything; a hub that does not within 5 s, or is not linked within 1 s, is left again. Measured: TestAnAgentReturnsOnceItsHubIsBack failed on the code before, after 30 s. go test -race -count=20 of it, TestAnAgentLeaves, TestAnAgentReturnsToAHub, TestAnAgentWithout, TestAgentsReturn and TestWanted in internal/hub: ok. That an agent tries another hub 400 to 550 ms after its own was last linked is now a test in simulated time; it needed no change.

--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -130,6 +130,7 @@
 	ended    map[string]time.Duration // that this hub tells
 	synced   bool                     // had all of a hub's feed once
 	behind   bool                     // was cut off from the core since, and has not had all again
+	returnAt time.Duration            // when to try the hubs of the own zone; 0: no need
 	granted  map[string]bool          // sources that it holds leases of
 	linked   time.Duration            // since when it is of the core and linked; 0: it is not
 	attached time.Duration            // since when it has a session with a linked hub; 0: it has none
@@ -643,7 +644,6 @@
 	}
 }
 
-// alone tells whether all other machines of the core are here, and none of them knows all either:
 // hasAll tells whether this process has had all that a hub knows, and was not cut off from the core
 // since.
 func (h *Hub) hasAll() bool { return h.synced && !h.behind }
@@ -658,6 +658,7 @@
 	return false
 }
 
+// alone tells whether all other machines of the core are here, and none of them knows all either:
 // then there is nobody who does.
 func (h *Hub) alone(hubs []Peer) bool {
 	full := map[string]bool{}
--- a/internal/hub/life_test.go
+++ b/internal/hub/life_test.go
@@ -42,7 +42,7 @@
 
 // meet gives a hub a session with a peer, which says nothing by itself.
 func (s *still) meet(peer, source string, core bool) *session {
-	x := &session{peer: peer, source: source, core: core, has: feed.Vector{}, heard: s.now(), since: s.now(), cancel: func() {},
+	x := &session{peer: peer, source: source, core: core, has: feed.Vector{}, heard: s.now(), since: s.now(), begun: s.now() - time.Minute, cancel: func() {},
 		received: func() uint64 { return 0 }, held: feed.Vector{}, unacked: map[string]bool{}, replicatedChanged: make(chan struct{}, 1), poke: time.NewTimer(time.Hour)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -75,6 +75,7 @@
 	said              bool          // it has said whether
 	heard             time.Duration // when the last whole message came
 	since             time.Duration // unlinked since
+	begun             time.Duration
 	// received counts the bytes that the peer has sent; bytes is what it was at the last tick,
 	// progress when it had risen.
 	received func() uint64
@@ -147,7 +148,7 @@
 		h.tellEnd(theirs.Source) // it was away when that was told
 	}
 	s := &session{peer: peer, source: theirs.Source, core: theirs.Core, dialed: first != nil, has: maps.Clone(theirs.Vector),
-		heard: h.now(), since: h.now(), received: st.Received, cancel: cancel, poke: time.NewTimer(time.Hour),
+		heard: h.now(), since: h.now(), begun: h.now(), received: st.Received, cancel: cancel, poke: time.NewTimer(time.Hour),
 		held: feed.Vector{}, unacked: map[string]bool{}, replicatedChanged: make(chan struct{}, 1)}
 	defer s.poke.Stop()
 	if s.has == nil {
@@ -354,24 +355,11 @@
 	if core {
 		return h.wantedOfCore(peers, have)
 	}
-	order := h.order(slices.Clone(peers))
-	now, sound := h.now(), false
-	var best *session // of those with linked hubs
-	for s := range h.sessions {
-		if !s.dialed || !s.core {
-			continue
-		}
-		sound = sound || s.linked || now-s.since < unlinkedFor
-		if s.linked && (best == nil || rank(order, s.peer) < rank(order, best.peer)) {
-			best = s
-		}
-	}
-	if best != nil { // one is enough
-		for s := range h.sessions {
-			if s.dialed && s != best {
-				s.cancel()
-			}
-		}
+	order, now := h.order(slices.Clone(peers)), h.now()
+	best, sound := h.bestSession(order, now)
+	if best != nil {
+		h.endOthers(best, order, now)
+		return h.wantedOfOwnZone(best, peers, have, now)
 	}
 	if sound {
 		return nil
