Play all five points in virtual time, with faults in the moments of a call

Cause: the thin run knew one cut only. Change: races and repeats while the head changes, losses that follow each other at the settle time, hundreds of changes with restarts and wipes, resets under calls whose answers tell whose they are; servers that drain and leave; a referee for time in force, copies, drains, acknowledgements and catching up; faults that wait for a call of the core at a machine and hit moments after it.

--- a/internal/lab/controlsim/network.go
+++ b/internal/lab/controlsim/network.go
@@ -1,6 +1,7 @@
 package controlsim
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -51,6 +52,36 @@
 	blocked   map[route]time.Time // since when a link isn't open
 	bandwidth int                 // bytes a second of each direction of a connection; 0: no bound
 	conns     map[*conn]bool
+	watches   map[*callWatch]bool
+}
+
+// callWatch waits for a call that arrives at a host.
+type callWatch struct {
+	host    *host
+	name    []byte
+	arrived chan struct{}
+}
+
+// watch gives a channel that is closed once a call of a name has arrived at a host.
+func (n *network) watch(h *host, call string) (arrived <-chan struct{}, forget func()) {
+	w := &callWatch{host: h, name: []byte(call), arrived: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.watches[w] = true
+	return w.arrived, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.watches, w)
+	}
+}
+
+func (n *network) arrivedLocked(at *host, data []byte) {
+	for w := range n.watches {
+		if w.host == at && bytes.Contains(data, w.name) {
+			close(w.arrived)
+			delete(n.watches, w)
+		}
+	}
 }
 
 // host is the kernel's side of a machine: it outlives the processes of the machine.
@@ -64,7 +95,8 @@
 }
 
 func newNetwork() *network {
-	return &network{hosts: map[string]*host{}, links: map[route]linkState{}, blocked: map[route]time.Time{}, conns: map[*conn]bool{}}
+	return &network{hosts: map[string]*host{}, links: map[route]linkState{}, blocked: map[route]time.Time{}, conns: map[*conn]bool{},
+		watches: map[*callWatch]bool{}}
 }
 
 func (n *network) addHost(addr string) *host {
@@ -482,6 +514,7 @@
 		c.peer.arrived = append(c.peer.arrived, s.data...)
 		c.peer.ended = c.peer.ended || s.fin
 		c.peer.heard = now
+		c.net.arrivedLocked(c.remote, s.data)
 		if c.net.links[route{c.remote.addr, c.local.addr}] == linkOpen {
 			c.unacked = now // of what is left
 		}
--- /dev/null
+++ b/internal/lab/controlsim/quiet.go
@@ -0,0 +1,21 @@
+package controlsim
+
+import (
+	"flag"
+	"io"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+)
+
+// quiet drops the log of the code that is played: runs have a log of their own.
+func quiet() {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	for name, value := range map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL"} {
+		if err := flags.Set(name, value); err != nil {
+			panic(errors.Wrap(err, "controlsim: flags of the log").Error())
+		}
+	}
+	klog.SetOutput(io.Discard)
+}
--- a/internal/lab/controlsim/referee.go
+++ b/internal/lab/controlsim/referee.go
@@ -9,6 +9,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"chalkdoor.example/chalkdoor/internal/chain"
+	"chalkdoor.example/chalkdoor/internal/core"
 	"chalkdoor.example/chalkdoor/internal/hub"
 	"chalkdoor.example/chalkdoor/internal/view"
 )
@@ -40,8 +41,19 @@
 	acked      int64             // highest revision that was acknowledged
 	taken      int
 	reads      int
+	drains     int
+	calls      int // between processes that were answered
 }
 
+const (
+	// inForceWithin is how long after its acknowledgement a change, or a drain, is known at every
+	// machine in touch; inTouchFor is how long a machine was in no fault to be counted as that.
+	inForceWithin, inTouchFor = 2 * time.Second, 4 * time.Second
+	// ackWithin is how long an order may take while the core is stable: no fault begins or ends for
+	// stableFor before it and meanwhile.
+	ackWithin, stableFor = 4 * time.Second, 4 * time.Second
+)
+
 func newReferee(r *run) *referee {
 	return &referee{run: r, views: map[uint64]view.View{}, configs: map[uint64]string{}}
 }
@@ -176,3 +188,76 @@
 		f.acked = max(f.acked, in.revision)
 	}
 }
+
+// answered takes that an operator has the last answer to an order.
+func (f *referee) answered(in orderInput, out answer, called time.Duration) {
+	switch took := f.run.now() - called; {
+	case out.kind == chain.Taken:
+		f.checkCopies(in.revision)
+		f.later(inForceWithin, func(acked time.Time) { f.checkInForce(in.revision, acked) })
+	case out.kind == chain.Unclear && took >= ackWithin && f.run.stable(called-stableFor, called+ackWithin):
+		f.violate("operators", "order %s was not answered within %v of a stable core", in.id, took)
+	}
+}
+
+// checkCopies counts the disks that hold a change when it is acknowledged.
+func (f *referee) checkCopies(revision int64) {
+	if f.run.lostDiskSince(time.Now().Add(-inTouchFor)) {
+		return // a copy of it may have been on that disk
+	}
+	copies := 0
+	for _, m := range f.run.members() {
+		state, err := core.InspectRecords(m.media.read)
+		if err != nil {
+			f.violate(m.name, "%v", err)
+		} else if state.Record.Value.Revision >= revision {
+			copies++
+		}
+	}
+	if floor := f.run.view().Floor(f.run.setup.losses); copies < floor {
+		f.violate("core", "revision %d is acknowledged with %d copies, not %d", revision, copies, floor)
+	}
+}
+
+// later calls a check after a time, unless the run ends before.
+func (f *referee) later(wait time.Duration, check func(since time.Time)) {
+	since := time.Now()
+	f.run.checks.Go(func() {
+		if pause(f.run.playing, wait); f.run.playing.Err() == nil {
+			check(since)
+		}
+	})
+}
+
+// checkInForce looks for machines in touch that go by an older configuration than an acknowledged one.
+func (f *referee) checkInForce(revision int64, acked time.Time) {
+	for _, p := range f.run.inTouch(acked.Add(-inTouchFor)) {
+		if s := p.last.Load(); s == nil || s.Doc == nil || s.Doc.Revision < revision {
+			f.violate(p.machine.name, "revision %d is not in force %v after its acknowledgement", revision, inForceWithin)
+		}
+	}
+}
+
+// drained takes that a drain was acknowledged.
+func (f *referee) drained(id string) {
+	f.mu.Lock()
+	f.drains++
+	f.mu.Unlock()
+	f.run.log("%s is answered that it drains", id)
+	f.later(inForceWithin, func(acked time.Time) {
+		for _, p := range f.run.inTouch(acked.Add(-inTouchFor)) {
+			if s := p.last.Load(); s != nil && s.List != nil && s.List.ByID[id] != nil {
+				f.violate(p.machine.name, "%s is listed %v after its drain was acknowledged", id, inForceWithin)
+			}
+		}
+	})
+}
+
+// called counts the calls between processes.
+func (f *referee) called(answered bool) {
+	if answered {
+		f.mu.Lock()
+		f.calls++
+		f.mu.Unlock()
+	}
+}
