--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -483,7 +483,8 @@
 	Whole   bool // holds everything that was acknowledged
 	Record  uint64
 	Commit  uint64
-	Pending bool // a next view was accepted here and its decision is not known
+	Short   view.Shortfall // losses that the voters of View don't bear
+	Pending bool           // a next view was accepted here and its decision is not known
 	Ending  bool
 	Disk    store.Health
 	Peers   []PeerStatus
@@ -509,7 +510,7 @@
 	_, voter := m.view.Voter(m.me.ID)
 	s := Status{ID: m.me.ID, Addr: m.me.Addr, Dir: m.o.Dir, View: m.view, Place: m.view.Place(m.me.ID), Voter: voter,
 		Linked: m.majorityLocked(now), Whole: r.Complete(), Record: m.record.Value.Seq, Commit: m.committed.Seq,
-		Pending: m.pendingLocked() != 0, Ending: m.ending, Disk: disk}
+		Short: m.view.Shortfall(m.tolerance()), Pending: m.pendingLocked() != 0, Ending: m.ending, Disk: disk}
 	for _, p := range m.peers {
 		s.Peers = append(s.Peers, PeerStatus{Peer: p.said.Peer, Silent: p.silent(now, m.awake), View: p.said.View, Commit: p.said.Seq, Sick: p.said.Sick, Ending: p.said.Ending})
 	}
