Let a newcomer that ends tell the voters, and await its admission

Cause: a newcomer that got SIGTERM ended at once and told nobody, so a proposal under way could admit it as it went: four voters, one of them gone for good.

--- a/internal/core/repair.go
+++ b/internal/core/repair.go
@@ -256,13 +256,18 @@
 // nothing to wait for, or with ctx.
 func (m *Member) Handover(ctx context.Context) {
 	m.mu.Lock()
+	newcomer := m.newcomerLocked()
 	m.ending = true
 	v := m.view
 	m.mu.Unlock()
-	if _, voter := v.Voter(m.me.ID); !voter {
+	_, voter := v.Voter(m.me.ID)
+	if !voter && !newcomer {
 		return
 	}
 	m.tellEnding(ctx, v)
+	if newcomer && !m.becomesVoter(ctx) {
+		return
+	}
 	for idle := 0; ctx.Err() == nil && idle < handoverTries; {
 		changed, state := m.handOver(time.Now())
 		switch state {
@@ -284,6 +289,27 @@
 	}
 }
 
+// becomesVoter tells whether a newcomer that is about to end was admitted by a proposal that was
+// under way before the others knew.
+func (m *Member) becomesVoter(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, phaseWait)
+	defer cancel()
+	for {
+		m.mu.Lock()
+		_, voter := m.view.Voter(m.me.ID)
+		changed := m.changed
+		m.mu.Unlock()
+		if voter {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // handoverState is how far a handover is.
 type handoverState uint8
 
