--- a/internal/view/placement.go
+++ b/internal/view/placement.go
@@ -16,7 +16,7 @@
 	if len(pool) == 0 {
 		return View{}, false
 	}
-	v.Voters = extend(nil, pool, t)
+	v.Voters = extend(nil, pool, t, true)
 	members := pick(nil, v.Voters, Most(t), t.Regions > 0)
 	slices.SortFunc(v.Voters, byID)
 	slices.SortFunc(members, byID)
@@ -27,8 +27,8 @@
 }
 
 // extend picks further voters from a pool such that all together bear the tolerated losses as well
-// as they can, and among equal sets the largest. Those that are voters already stay.
-func extend(voters, pool []Peer, t Tolerance) []Peer {
+// as they can, and among equal sets the largest or the smallest. Those that are voters already stay.
+func extend(voters, pool []Peer, t Tolerance, largest bool) []Peer {
 	var best []Peer
 	least := t.shortfall(voters, len(voters))
 	for _, regionsFirst := range []bool{t.Regions > 0, false} {
@@ -36,7 +36,7 @@
 		for n := 1; n <= len(order); n++ {
 			all := append(slices.Clone(voters), order[:n]...)
 			short := t.shortfall(all, len(all))
-			if short.Less(least) || short == least && n > len(best) {
+			if short.Less(least) || largest && short == least && n > len(best) {
 				best, least = order[:n], short
 			}
 		}
--- a/internal/view/plan.go
+++ b/internal/view/plan.go
@@ -38,7 +38,7 @@
 // Plan is the next step of repair as me sees it, or none. health has an entry for each peer that
 // was ever heard, by its id; me's own is among them.
 func Plan(v View, me string, health map[string]Health, p Policy) (Step, bool) {
-	pl := &planner{view: v, health: health, policy: p}
+	pl := newPlanner(v, health, p)
 	if step, due := pl.finish(); due {
 		return step, true
 	}
@@ -63,7 +63,7 @@
 // MayLeave tells whether a member that is about to end has nothing to wait for: it has no place in
 // the chain and its vote need not be handed over, or nobody is there that could take its place.
 func MayLeave(v View, me string, health map[string]Health, p Policy) bool {
-	pl := &planner{view: v, health: health, policy: p}
+	pl := newPlanner(v, health, p)
 	if v.Place(me) < 0 {
 		_, due := pl.handOverVote(pl.newcomers())
 		return !due
@@ -84,6 +84,15 @@
 	view   View
 	health map[string]Health
 	policy Policy
+	usable map[string]bool // the peers that can be relied on now
+}
+
+func newPlanner(v View, health map[string]Health, p Policy) *planner {
+	pl := &planner{view: v, health: health, policy: p, usable: make(map[string]bool, len(health))}
+	for id, h := range health {
+		pl.usable[id] = h.Silent < p.Silent && !h.Sick && !h.Ending && !pl.replaced(id)
+	}
+	return pl
 }
 
 // trouble is a member of the chain that is to be dropped.
@@ -95,10 +104,7 @@
 }
 
 // ok tells whether a peer can be relied on now.
-func (pl *planner) ok(id string) bool {
-	h, known := pl.health[id]
-	return known && h.Silent < pl.policy.Silent && !h.Sick && !h.Ending && !pl.replaced(id)
-}
+func (pl *planner) ok(id string) bool { return pl.usable[id] }
 
 // ready tells whether a peer has been well for long enough to be given a place.
 func (pl *planner) ready(id string) bool { return pl.ok(id) && pl.health[id].Well >= pl.policy.Settle }
@@ -201,18 +207,20 @@
 	return Step{}, false
 }
 
-// floorWithout is the spread that complete copies must have once a member is dropped. Beyond the
-// view's floor it asks for the zones and regions that other machines can hold it in right now; for a
-// member that still works, newcomers count as such too.
+// floorWithout is the spread that complete copies must have once a member is dropped: the floor of
+// the voters that stay, and more where other machines can hold copies right now. For a member that
+// still works, newcomers that can be admitted count as such too.
 func (pl *planner) floorWithout(bad trouble) Spread {
 	tolerance := pl.policy.Tolerance
-	floor := View{Voters: pl.voters()}.Floor(tolerance)
+	voters := filter(pl.voters(), func(p Peer) bool { return !bad.ending || p.ID != bad.id })
+	floor := View{Voters: voters}.Floor(tolerance)
 	holders := pl.members(func(id string) bool { return id != bad.id && pl.ok(id) })
 	holders = append(holders, pl.joinable()...)
 	if bad.ending {
-		holders = append(holders, pl.newcomers()...)
+		holders = append(holders, extend(pl.voters(), pl.newcomers(), tolerance, true)...)
 	}
 	possible := SpreadOf(holders)
+	floor.Machines = max(floor.Machines, min(tolerance.Machines+1, possible.Machines))
 	floor.Zones = max(floor.Zones, min(tolerance.Zones+1, possible.Zones))
 	floor.Regions = max(floor.Regions, min(tolerance.Regions+1, possible.Regions))
 	return floor
@@ -250,10 +258,18 @@
 // chainIsShort tells whether the chain is to grow: in length, or to zones and regions that it lacks.
 func (pl *planner) chainIsShort() bool {
 	tolerance := pl.policy.Tolerance
-	if len(pl.view.Chain) < Most(tolerance) {
+	switch {
+	case len(pl.view.Chain) == len(pl.view.Voters):
+		return false
+	case len(pl.view.Chain) < Most(tolerance):
 		return true
+	case tolerance.Zones == 0 && tolerance.Regions == 0:
+		return false
 	}
 	now := SpreadOf(pl.members(func(string) bool { return true }))
+	if now.Zones > tolerance.Zones && now.Regions > tolerance.Regions {
+		return false
+	}
 	could := SpreadOf(append(pl.members(pl.ok), pl.joinable()...))
 	return now.Zones < min(tolerance.Zones+1, could.Zones) || now.Regions < min(tolerance.Regions+1, could.Regions)
 }
@@ -304,11 +320,12 @@
 // handOverVote gives the vote of a voter that is about to end to a newcomer, or retires it where the
 // voters that stay bear more without it.
 func (pl *planner) handOverVote(came []Peer) (Step, bool) {
-	for _, q := range pl.voters() {
-		h, known := pl.health[q.ID]
-		if !known || !h.Ending || h.Silent >= pl.policy.Silent || pl.view.Place(q.ID) >= 0 {
+	for _, voter := range pl.view.Voters {
+		h, known := pl.health[voter.ID]
+		if !known || !h.Ending || h.Silent >= pl.policy.Silent || pl.view.Place(voter.ID) >= 0 {
 			continue
 		}
+		q := pl.located(voter)
 		if c, can := pl.substitute(q, came); can {
 			return pl.swap(q.ID, c, ", as it is about to end"), true
 		}
@@ -321,26 +338,25 @@
 }
 
 // retires tells whether the voters that are present bear strictly more without the vote of one that
-// leaves, and the floor of the copies stays what it is.
+// leaves.
 func (pl *planner) retires(id string) bool {
 	tolerance := pl.policy.Tolerance
 	all := pl.voters()
 	present := filter(all, func(p Peer) bool { return p.ID != id && pl.ok(p.ID) })
-	rest := filter(all, func(p Peer) bool { return p.ID != id })
-	if len(rest) == 0 || (View{Voters: rest}).Floor(tolerance) != (View{Voters: all}).Floor(tolerance) {
+	if len(present) == 0 {
 		return false
 	}
-	return tolerance.shortfall(present, len(rest)).Less(tolerance.shortfall(present, len(all)))
+	return tolerance.shortfall(present, len(all)-1).Less(tolerance.shortfall(present, len(all)))
 }
 
 // swapAbsent gives the vote of a voter that stays away to a newcomer.
 func (pl *planner) swapAbsent(came []Peer) (Step, bool) {
-	for _, q := range pl.voters() {
+	for _, q := range pl.view.Voters {
 		h, known := pl.health[q.ID]
 		if known && h.Silent < pl.policy.Away || pl.view.Place(q.ID) >= 0 {
 			continue
 		}
-		if c, can := pl.substitute(q, came); can {
+		if c, can := pl.substitute(pl.located(q), came); can {
 			return pl.swap(q.ID, c, ", as it stays away"), true
 		}
 	}
@@ -350,6 +366,9 @@
 // substitute is the newcomer in whose place the voters bear most, if they bear no less than with the
 // old one; of equal ones that of the same zone, then that of the zone with fewest voters.
 func (pl *planner) substitute(old Peer, came []Peer) (Peer, bool) {
+	if len(came) == 0 {
+		return Peer{}, false
+	}
 	tolerance := pl.policy.Tolerance
 	all := pl.voters()
 	rest := filter(all, func(p Peer) bool { return p.ID != old.ID })
@@ -375,15 +394,22 @@
 
 // admit gives a newcomer a vote of its own, only while all voters are there: with one away it would
 // raise the majority. One that is about to end counts as away once it has left the chain; before
-// that the chain may need the newcomer.
+// that the chain needs the newcomer. Where zones or regions are to be borne, there are no more
+// voters than that takes otherwise: a newcomer that stands by takes the place of one of its zone.
 func (pl *planner) admit(came []Peer) (Step, bool) {
+	if len(came) == 0 {
+		return Step{}, false
+	}
+	tolerance := pl.policy.Tolerance
+	grow := tolerance.Zones == 0 && tolerance.Regions == 0
 	for _, q := range pl.view.Voters {
 		h, known := pl.health[q.ID]
 		if !known || h.Silent >= pl.policy.Silent || h.Ending && pl.view.Place(q.ID) < 0 {
 			return Step{}, false
 		}
+		grow = grow || h.Ending
 	}
-	more := extend(pl.voters(), came, pl.policy.Tolerance)
+	more := extend(pl.voters(), came, tolerance, grow)
 	if len(more) == 0 {
 		return Step{}, false
 	}
--- a/internal/view/tolerance.go
+++ b/internal/view/tolerance.go
@@ -110,29 +110,53 @@
 	return counts
 }
 
-// largest is how many peers the n fullest domains have.
-func largest(counts map[domain]int, n int) (sum int) {
-	var sizes []int
+// sizes are the sizes of domains, the smallest first.
+func sizes(counts map[domain]int) (out []int) {
 	for _, size := range counts {
-		sizes = append(sizes, size)
+		out = append(out, size)
 	}
-	slices.Sort(sizes)
-	for _, size := range sizes[max(0, len(sizes)-n):] {
+	slices.Sort(out)
+	return out
+}
+
+// largest is how many peers, or other parts, the n fullest domains have.
+func largest(counts map[domain]int, n int) (sum int) {
+	all := sizes(counts)
+	for _, size := range all[max(0, len(all)-n):] {
 		sum += size
 	}
 	return sum
 }
 
-// Floor is the least spread of the complete copies of the chain. Of machines it is one more than may
-// be lost; of zones and regions as well, but no more than a tolerated loss leaves of those that the
-// voters are in, so that the loss of a zone does not hold orders up.
+// Floor is the least spread of the complete copies of the chain: one machine, zone and region more
+// than may be lost, but no more than any tolerated loss leaves of those that the voters are in, so
+// that it does not hold orders up. Of machines only so many losses count as leave a majority.
 func (v View) Floor(t Tolerance) Spread {
 	all := SpreadOf(v.Voters)
+	machines := min(t.Machines, max(0, all.Machines-v.Majority()))
+	zones, regions := perDomain(v.Voters, zoneOf), perDomain(v.Voters, regionOf)
+	zonesOfRegion := map[domain]int{}
+	for zone := range zones {
+		zonesOfRegion[domain{region: zone.region}]++
+	}
+	zonesLeft := min(all.Zones-t.Zones, all.Zones-emptied(zones, machines), all.Zones-largest(zonesOfRegion, t.Regions))
+	regionsLeft := min(all.Regions-t.Regions, all.Regions-emptied(regions, machines), all.Regions-emptied(zonesOfRegion, t.Zones))
 	return Spread{
-		Machines: max(1, min(t.Machines+1, all.Machines)),
-		Zones:    max(1, min(t.Zones+1, all.Zones-t.Zones)),
-		Regions:  max(1, min(t.Regions+1, all.Regions-t.Regions)),
+		Machines: max(1, min(t.Machines+1, all.Machines-machines)),
+		Zones:    max(1, min(t.Zones+1, zonesLeft)),
+		Regions:  max(1, min(t.Regions+1, regionsLeft)),
+	}
+}
+
+// emptied is how many domains lose all of their parts at most when lost parts are lost.
+func emptied(parts map[domain]int, lost int) (n int) {
+	for _, size := range sizes(parts) {
+		if lost -= size; lost < 0 {
+			break
+		}
+		n++
 	}
+	return n
 }
 
 // Most is how long a chain grows. Each member more is one more sync on the way of an order, and one
