List no lost server again by a repeat of its last beat

Cause: a server that crashed was taken for lost under the number of its last beat, and a repeat of that beat, seconds late, at the agent where it had beaten listed it again for 3.5 beats. Change: a beat of a lost server with the number that it was lost with is late; one without a number (0) is not. Tests for the rest, which held: a server that sends DELETE first and beats on stays off the list, beats seconds late undo no drain and no end whatever their number, and a server that comes back under a new id is listed with its first beat. Measured: TestACrashedServer failed before the change. go test -race -count=20 of TestAServerThat, TestBeatsThat, TestACrashed, TestABeatWithout, TestALateCall, TestLateCalls, TestSilenceBy in internal/inst: ok; the package once: ok.

--- a/internal/inst/table.go
+++ b/internal/inst/table.go
@@ -78,8 +78,8 @@
 		if k.best.State == Gone || k.best.State == Draining && in.State == Ready {
 			return nil, nil
 		}
-		if in.Seq < k.best.Seq && in.State == Ready {
-			return nil, nil // late
+		if in.State == Ready && late(in, k.best) {
+			return nil, nil
 		}
 	}
 	h := t.homes[in.ID]
@@ -102,6 +102,12 @@
 	return in, nil
 }
 
+// late tells whether a beat is from before what is known: also a repeated last beat of a server that
+// was lost since. A server that gives no numbers is never late.
+func late(in, known *Instance) bool {
+	return in.Seq < known.Seq || known.State == Lost && in.Seq == known.Seq && in.Seq > 0
+}
+
 // Leave takes a server's word that it ends, as Beat does.
 func (t *Table) Leave(now time.Duration, id string) (*Instance, error) {
 	k := t.all[id]
