Encode a long configuration once for all sessions

Cause: each session marshalled the message with the whole configuration for itself, and its stream copied it once more. Change: a configuration of 64 KB or more goes in a message of its own, encoded once for all sessions that lack the same and kept for a second after its last use; rpc.Encode and Stream.SendEncoded write it to the connection without another copy. What else a session lacks follows beside it as before.

--- /dev/null
+++ b/internal/hub/fanout_bench_test.go
@@ -0,0 +1,94 @@
+package hub
+
+import (
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"chalkdoor.example/chalkdoor/internal/feed"
+	"chalkdoor.example/chalkdoor/internal/rpc"
+)
+
+// The cost of one configuration of 1 MB to 100 sessions: what its encoding takes, and what the
+// whole way to the readers takes, over loopback, the reading of all of them included.
+func BenchmarkFanOut(b *testing.B) {
+	const sessions, size = 100, 1 << 20
+	m := &message{Linked: true, Full: true, Deltas: []feed.Delta{{Source: configSource, Upto: 1,
+		Items: []feed.Item{{Key: configKey, Ver: 1, Data: encode(&Config{1, longDocument(1, size)})}}}}}
+	b.Run("encode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			for range sessions {
+				encode(m)
+			}
+		}
+	})
+	b.Run("send", func(b *testing.B) {
+		send := sendTo(b, sessions)
+		b.ReportAllocs()
+		for b.Loop() {
+			send(func(st *stream) error { return st.Send(m) })
+		}
+	})
+	b.Run("send-encoded", func(b *testing.B) {
+		send := sendTo(b, sessions)
+		b.ReportAllocs()
+		for b.Loop() {
+			shared, err := rpc.Encode(m)
+			require.NoError(b, err)
+			send(func(st *stream) error { return st.SendEncoded(shared) })
+		}
+	})
+}
+
+// sendTo returns what sends a message to so many readers at once and waits until all have it.
+func sendTo(b *testing.B, readers int) func(func(*stream) error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	table := rpc.NewTable()
+	var mu sync.Mutex
+	var streams []*stream
+	rpc.Streaming(table, "bench", func(st *stream) error {
+		if _, err := st.Recv(); err != nil {
+			return err
+		}
+		mu.Lock()
+		streams = append(streams, st)
+		mu.Unlock()
+		if err := st.Send(&message{}); err != nil {
+			return err
+		}
+		<-st.Context().Done()
+		return nil
+	})
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = rpc.Serve(b.Context(), ln, table) })
+	b.Cleanup(serving.Wait)
+	received := make(chan struct{}, readers)
+	for range readers {
+		st, hangUp, err := rpc.Open[message, message](b.Context(), ln.Addr().String(), "bench")
+		require.NoError(b, err)
+		b.Cleanup(hangUp)
+		require.NoError(b, st.Send(&message{}))
+		_, err = st.Recv()
+		require.NoError(b, err)
+		serving.Go(func() {
+			for {
+				if _, err := st.Recv(); err != nil {
+					return
+				}
+				received <- struct{}{}
+			}
+		})
+	}
+	return func(send func(*stream) error) {
+		for _, st := range streams {
+			serving.Go(func() { _ = send(st) })
+		}
+		for range readers {
+			<-received
+		}
+	}
+}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -138,6 +138,7 @@
 	newest   bool                     // the core has been asked for the newest configuration
 	homeless []string                 // hubs that others named
 	last     Snapshot
+	shared   sharedMessage // the last long configuration, as it was sent
 	limit    *rate.Limiter // of the bytes that notices make others take
 	// fullReports bounds how often a full list is logged.
 	fullReports rate.Sometimes
@@ -583,6 +584,7 @@
 		}
 		attached = attached || s.core && s.linked
 	}
+	h.dropShared(now)
 	since(&h.linked, now, core && linked)
 	since(&h.attached, now, attached)
 	if core && !linked {
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -272,11 +272,18 @@
 		for _, d := range m.Deltas {
 			s.has[d.Source] = d.Upto
 		}
+		var shared []byte // goes ahead, so it says of Full what was said last
+		shared, m.Deltas = h.shareConfig(&message{Core: m.Core, Linked: m.Linked, Full: full}, m.Deltas)
 		m.Got, m.Full, m.Held = h.set.Had(s.source), h.hasAll(), h.acknowledge(s)
 		if m.Core && !s.core {
 			m.Replicated = h.replicatedVersion(s.source, hubs)
 		}
 		h.mu.Unlock()
+		if len(shared) > 0 {
+			if err := st.SendEncoded(shared); err != nil {
+				return err
+			}
+		}
 		if due || len(m.Deltas) > 0 || len(m.Held) > 0 || m.Got != got || m.Replicated != replicated || m.Full != full ||
 			m.Core != core || m.Linked != link {
 			if err := st.Send(m); err != nil {
