Split the hub's file by concern

Cause: hub.go held members and leases, the configuration, servers, selection of sessions and reports in 719 lines.

--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -6,12 +6,7 @@
 package hub
 
 import (
-	"cmp"
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	"hash/fnv"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -68,23 +63,6 @@
 // Peer is a machine of the core.
 type Peer struct{ Addr, Zone string }
 
-// Member is what an agent tells of itself.
-type Member struct {
-	Name    string `msgpack:"n" json:"name"`
-	Addr    string `msgpack:"a" json:"addr"` // for calls of other agents
-	Zone    string `msgpack:"z" json:"zone"`
-	Region  string `msgpack:"r" json:"region"`
-	Core    bool   `msgpack:"c" json:"core"`
-	Ending  bool   `msgpack:"e" json:"ending"`
-	Control string `msgpack:"o" json:"control"`
-}
-
-// Config is the newest committed configuration.
-type Config struct {
-	Seq uint64 `msgpack:"s"`
-	Raw []byte `msgpack:"r"`
-}
-
 // Snapshot is what the data plane goes by: immutable, always one moment's.
 type Snapshot struct {
 	Seq    uint64    // of the configuration
@@ -168,67 +146,6 @@
 	return h
 }
 
-// saved is the list of servers on disk.
-type saved struct {
-	Format  int              `msgpack:"f"`
-	Servers []*inst.Instance `msgpack:"s"`
-}
-
-const savedFormat = 1
-
-// restore goes by the servers that an earlier life knew until their next beats are due: after a
-// loss of everything requests need not wait for them. Each is sent to by its id, so that another
-// one at its address takes nothing.
-func (h *Hub) restore() {
-	var s saved
-	if len(h.o.Saved) == 0 || msgpack.Unmarshal(h.o.Saved, &s) != nil || s.Format != savedFormat {
-		return
-	}
-	for _, in := range s.Servers {
-		if in == nil || !in.Sound() || in.State != inst.Ready {
-			continue
-		}
-		if h.table.Restore(h.now(), in) {
-			h.tell(instPrefix+in.ID, encode(in))
-		}
-	}
-	event.Restored.Log("servers", len(s.Servers))
-}
-
-// save keeps the list on disk as it changes, at most once in a while.
-func (h *Hub) save(ctx context.Context) {
-	tick := time.NewTicker(saveEvery)
-	defer tick.Stop()
-	done := uint64(0)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		h.mu.Lock()
-		l, synced := h.table.List(), h.synced
-		h.mu.Unlock()
-		if !synced || l.Version == done || len(l.ByID) == 0 {
-			continue
-		}
-		s := saved{Format: savedFormat}
-		for _, in := range l.ByID {
-			s.Servers = append(s.Servers, in)
-		}
-		slices.SortFunc(s.Servers, func(a, b *inst.Instance) int { return cmp.Compare(a.ID, b.ID) })
-		if err := h.o.Save(encode(&s)); err == nil { // a disk in trouble: the next time
-			done = l.Version
-		}
-	}
-}
-
-func (h *Hub) newSource() string {
-	var b [6]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return h.o.Self.Name + "/" + hex.EncodeToString(b[:])
-}
-
 // now is the steady clock, above zero.
 func (h *Hub) now() time.Duration { return time.Since(h.start) + time.Second }
 
@@ -248,8 +165,6 @@
 	return ver
 }
 
-func (h *Hub) tellSelf() { h.tell(memberKey, encode(&h.o.Self)) }
-
 func (h *Hub) wake() {
 	close(h.changed)
 	h.changed = make(chan struct{})
@@ -308,73 +223,6 @@
 	}
 }
 
-func (h *Hub) foldConfig(it feed.Item) {
-	var cfg Config
-	if err := msgpack.Unmarshal(it.Data, &cfg); err != nil || cfg.Seq <= h.seq || cfg.Seq != it.Ver {
-		return
-	}
-	doc, err := conf.Parse(cfg.Raw)
-	if err != nil {
-		event.ConfigBad.Error(err, "seq", cfg.Seq)
-		return
-	}
-	h.seq, h.doc = cfg.Seq, doc
-	event.ConfigInForce.Log("seq", cfg.Seq, "revision", doc.Revision)
-}
-
-// isAgent tells whether a source is an agent's.
-func isAgent(source string) bool { return source != "" && source != configSource }
-
-// end drops a source that a hub has ended. If it is the own one, this agent was taken for gone
-// and goes on as a new life.
-func (h *Hub) end(source string) {
-	now := h.now()
-	if source == h.set.Self() {
-		if !h.left {
-			h.rebase()
-		}
-		return
-	}
-	if h.set.Dropped(source) {
-		return
-	}
-	h.set.Drop(source)
-	h.leases.End(now, source)
-	delete(h.members, source)
-	h.table.Ended(now, source)
-	for s := range h.sessions {
-		delete(s.has, source)
-		delete(s.held, source)
-		delete(s.unacked, source)
-	}
-}
-
-// tellEnd tells all that a source has ended; only machines of the core do.
-func (h *Hub) tellEnd(source string) {
-	if _, told := h.ended[source]; told || !h.o.Self.Core {
-		return
-	}
-	h.ended[source] = h.now()
-	h.tell(endPrefix+source, []byte{1})
-}
-
-func (h *Hub) rebase() {
-	event.OwnLapsed.Log("old", h.set.Self())
-	now, old := h.now(), h.set.Self()
-	h.set.Rebase(h.newSource())
-	h.leases.End(now, old)
-	delete(h.members, old)
-	h.table.Renamed(now, h.set.Self())
-	for agent := range h.granted { // the new life holds them on
-		h.leases.Grant(now, agent, h.set.Self())
-	}
-	for s := range h.sessions {
-		s.cancel() // it began with the old name, and what the peer has is of that
-		delete(h.sessions, s)
-	}
-	h.tellSelf()
-}
-
 // publish gives the data plane the newest of all, if that is new to it.
 func (h *Hub) publish() {
 	next := Snapshot{Seq: h.seq, Doc: h.doc, List: h.table.List(), Agents: max(len(h.members), 1), Fresh: h.synced}
@@ -396,150 +244,6 @@
 	h.wake()
 }
 
-// Commit takes a configuration that the core has committed. Older ones are passed over.
-func (h *Hub) Commit(seq uint64, raw []byte) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if seq <= h.set.Has(configSource) {
-		return
-	}
-	h.apply([]feed.Delta{{Source: configSource, From: h.set.Has(configSource), Upto: seq,
-		Items: []feed.Item{{Key: configKey, Ver: seq, Data: encode(&Config{seq, raw})}}}})
-}
-
-// Newest takes that all configurations up to now have been committed here.
-func (h *Hub) Newest() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.newest = true
-	event.NewestRead.Log("after", h.now()-time.Second)
-}
-
-// Beat takes a server's call; in is not to be changed after. A server that says it drains is
-// answered once a majority of the core holds that; false: it is not known to, and the server had
-// better call another agent. So it had if what it says is out of bounds.
-func (h *Hub) Beat(ctx context.Context, in *inst.Instance) bool {
-	if !in.Sound() {
-		return false
-	}
-	h.mu.Lock()
-	told, err := h.table.Beat(h.now(), in)
-	life, ver := h.announceServer(in.ID, told, err)
-	h.mu.Unlock()
-	if err != nil {
-		return false
-	}
-	return in.State == inst.Ready || h.awaitReplicated(ctx, life, ver)
-}
-
-// Leave takes a server's word that it ends, as Beat does.
-func (h *Hub) Leave(ctx context.Context, id string) bool {
-	if in := (&inst.Instance{ID: id}); !in.Sound() {
-		return false
-	}
-	h.mu.Lock()
-	told, err := h.table.Leave(h.now(), id)
-	life, ver := h.announceServer(id, told, err)
-	h.mu.Unlock()
-	return err == nil && h.awaitReplicated(ctx, life, ver)
-}
-
-// announceServer tells all what a server's call changed, if anything, and returns the life and the
-// version of the own source that has it. The lock is held.
-func (h *Hub) announceServer(id string, told *inst.Instance, err error) (life string, version uint64) {
-	if err != nil {
-		h.reportFull(id)
-	}
-	if told != nil {
-		h.tell(instPrefix+id, encode(told))
-		h.publish()
-	}
-	return h.set.Self(), h.set.Own()
-}
-
-// reportFull logs now and then that a server found no room.
-func (h *Hub) reportFull(id string) {
-	h.fullReports.Do(func() { event.ServersFull.Log("id", id) })
-}
-
-// Ending tells the others that this agent is about to end.
-func (h *Hub) Ending() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.o.Self.Ending = true
-	h.tellSelf()
-}
-
-// Bye tells that it ends now; it waits until a hub knows, which tells the others.
-func (h *Hub) Bye(ctx context.Context) {
-	h.mu.Lock()
-	h.left = true
-	life := h.set.Self()
-	ver := h.tell(endPrefix+life, []byte{1})
-	h.mu.Unlock()
-	h.awaitReceived(ctx, life, ver)
-}
-
-// Others are the agents' addresses of other members that are not ending, core or not.
-func (h *Hub) Others(core bool) []Member {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var out []Member
-	for source, m := range h.members {
-		if source != h.set.Self() && !m.Ending && (!core || m.Core) {
-			out = append(out, m)
-		}
-	}
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	return out
-}
-
-// Report is what this process knows, for operators.
-type Report struct {
-	Source   string          `json:"source"`
-	Fresh    bool            `json:"fresh"`
-	Seq      uint64          `json:"config-seq"`
-	Revision int64           `json:"revision"`
-	Members  []MemberReport  `json:"members"`
-	Servers  []inst.View     `json:"servers"`
-	Sessions []SessionReport `json:"sessions"`
-}
-
-// MemberReport is one member; Held: someone holds a lease of it.
-type MemberReport struct {
-	Member
-	Source string `json:"source"`
-	Held   bool   `json:"held"`
-	Self   bool   `json:"self"`
-}
-
-// SessionReport is one session; Age is since it said something.
-type SessionReport struct {
-	Peer   string        `json:"peer"`
-	Linked bool          `json:"linked"`
-	Age    time.Duration `json:"age"`
-}
-
-// Report tells what this process knows.
-func (h *Hub) Report() Report {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.now()
-	r := Report{Source: h.set.Self(), Fresh: h.synced, Seq: h.seq, Servers: h.table.Views(now)}
-	if h.doc != nil {
-		r.Revision = h.doc.Revision
-	}
-	for source, m := range h.members {
-		r.Members = append(r.Members, MemberReport{m, source, h.leases.Held(source), source == h.set.Self()})
-	}
-	slices.SortFunc(r.Members, func(a, b MemberReport) int { return cmp.Compare(a.Name, b.Name) })
-	for s := range h.sessions {
-		r.Sessions = append(r.Sessions, SessionReport{s.peer, s.linked, now - s.heard})
-	}
-	slices.SortFunc(r.Sessions, func(a, b SessionReport) int { return cmp.Compare(a.Peer, b.Peer) })
-	return r
-}
-
 // Run keeps sessions and looks at leases and silence, until ctx ends.
 func (h *Hub) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
@@ -621,103 +325,5 @@
 	}
 }
 
-// lapse ends sources that nobody holds a lease of. A machine of the core does so for all, once it
-// has been linked for as long as a lease lasts: before, it may not have heard of leases that others
-// hold. Another agent drops for itself what the core must have ended while it could not hear it.
-func (h *Hub) lapse(now time.Duration, core bool) {
-	lapsed := h.leases.Lapsed(now)
-	tells := core && h.linked > 0 && now-h.linked > leaseLasts
-	if !tells && (core || h.attached == 0 || now-h.attached <= 2*leaseLasts) {
-		return
-	}
-	here := map[string]bool{h.set.Self(): true}
-	for s := range h.sessions {
-		here[s.source] = true
-	}
-	for _, source := range lapsed {
-		if here[source] {
-			continue
-		}
-		event.Lapsed.Log("source", source)
-		if tells {
-			h.tellEnd(source)
-		}
-		h.end(source)
-	}
-}
-
-// hasAll tells whether this process has had all that a hub knows, and was not cut off from the core
-// since.
-func (h *Hub) hasAll() bool { return h.synced && !h.behind }
-
-// beingTold tells whether a machine of the core is still sending its first deltas.
-func (h *Hub) beingTold() bool {
-	for s := range h.sessions {
-		if s.core && !s.said {
-			return true
-		}
-	}
-	return false
-}
-
-// alone tells whether all other machines of the core are here, and none of them knows all either:
-// then there is nobody who does.
-func (h *Hub) alone(hubs []Peer) bool {
-	full := map[string]bool{}
-	for s := range h.sessions {
-		if s.said {
-			full[s.peer] = full[s.peer] || s.full
-		}
-	}
-	for _, p := range hubs {
-		if known, ok := full[p.Addr]; p.Addr != h.o.Self.Addr && (!ok || known) {
-			return false
-		}
-	}
-	return true
-}
-
-// grant tells whose leases this machine of the core holds: of all that it has a session with. Its
-// own others hold: it would outlive it.
-func (h *Hub) grant(core bool) {
-	held := map[string]bool{}
-	for s := range h.sessions {
-		if core && !h.set.Dropped(s.source) {
-			held[s.source] = true
-		}
-	}
-	for source := range held {
-		if !h.granted[source] {
-			h.granted[source] = true
-			h.tell(leasePrefix+source, []byte{1})
-		}
-	}
-	for source := range h.granted {
-		if !held[source] {
-			delete(h.granted, source)
-			h.tell(leasePrefix+source, nil)
-		}
-	}
-}
-
-// order ranks hubs for an agent: those of its zone first, then spread by hash.
-func (h *Hub) order(peers []Peer) []string {
-	rank := func(p Peer) uint32 {
-		f := fnv.New32a()
-		f.Write([]byte(h.o.Self.Addr + "|" + p.Addr))
-		x := f.Sum32() >> 1
-		if p.Zone != h.o.Self.Zone {
-			x |= 1 << 31
-		}
-		return x
-	}
-	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(rank(a), rank(b)) })
-	out := make([]string, len(peers))
-	for i, p := range peers {
-		out[i] = p.Addr
-	}
-	return out
-}
-
 // Declare adds the feed's calls to a table.
 func (h *Hub) Declare(t *rpc.Table) { rpc.Streaming(t, "feed.session", h.answer) }
--- /dev/null
+++ b/internal/hub/report.go
@@ -0,0 +1,55 @@
+package hub
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chalkdoor.example/chalkdoor/internal/inst"
+)
+
+// Report is what this process knows, for operators.
+type Report struct {
+	Source   string          `json:"source"`
+	Fresh    bool            `json:"fresh"`
+	Seq      uint64          `json:"config-seq"`
+	Revision int64           `json:"revision"`
+	Members  []MemberReport  `json:"members"`
+	Servers  []inst.View     `json:"servers"`
+	Sessions []SessionReport `json:"sessions"`
+}
+
+// MemberReport is one member; Held: someone holds a lease of it.
+type MemberReport struct {
+	Member
+	Source string `json:"source"`
+	Held   bool   `json:"held"`
+	Self   bool   `json:"self"`
+}
+
+// SessionReport is one session; Age is since it said something.
+type SessionReport struct {
+	Peer   string        `json:"peer"`
+	Linked bool          `json:"linked"`
+	Age    time.Duration `json:"age"`
+}
+
+// Report tells what this process knows.
+func (h *Hub) Report() Report {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	r := Report{Source: h.set.Self(), Fresh: h.synced, Seq: h.seq, Servers: h.table.Views(now)}
+	if h.doc != nil {
+		r.Revision = h.doc.Revision
+	}
+	for source, m := range h.members {
+		r.Members = append(r.Members, MemberReport{m, source, h.leases.Held(source), source == h.set.Self()})
+	}
+	slices.SortFunc(r.Members, func(a, b MemberReport) int { return cmp.Compare(a.Name, b.Name) })
+	for s := range h.sessions {
+		r.Sessions = append(r.Sessions, SessionReport{s.peer, s.linked, now - s.heard})
+	}
+	slices.SortFunc(r.Sessions, func(a, b SessionReport) int { return cmp.Compare(a.Peer, b.Peer) })
+	return r
+}
--- a/internal/hub/selection.go
+++ b/internal/hub/selection.go
@@ -1,7 +1,10 @@
 package hub
 
 import (
+	"cmp"
+	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -79,3 +82,92 @@
 	}
 	return addrs
 }
+
+// wanted are the addresses that this agent should have a session with and has not. Sessions that
+// it began and should not have it ends.
+func (h *Hub) wanted(turn int) []string {
+	peers, core := h.o.Core.Hubs(), h.o.Core.IsCore()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	have := map[string]bool{}
+	for s := range h.sessions {
+		have[s.peer] = true
+	}
+	if core {
+		return h.wantedOfCore(peers, have)
+	}
+	order, now := h.order(slices.Clone(peers)), h.now()
+	best, sound := h.bestSession(order, now)
+	if best != nil {
+		h.endOthers(best, order, now)
+		return h.wantedOfOwnZone(best, peers, have, now)
+	}
+	if sound {
+		return nil
+	}
+	list, next := order, turn-turn/4
+	if more := append(slices.Clone(h.o.Seeds()), h.homeless...); len(list) == 0 {
+		list, next = more, turn
+	} else if turn%4 == 3 && len(more) > 0 {
+		list, next = more, turn/4
+	}
+	for range list {
+		if a := list[next%len(list)]; !have[a] && a != h.o.Self.Addr {
+			return []string{a}
+		}
+		next++
+	}
+	return nil
+}
+
+// wantedOfCore: the machine with the lower address begins the session.
+func (h *Hub) wantedOfCore(peers []Peer, have map[string]bool) (out []string) {
+	for _, p := range peers {
+		if p.Addr > h.o.Self.Addr && !have[p.Addr] {
+			out = append(out, p.Addr)
+		}
+	}
+	for s := range h.sessions {
+		if s.dialed && len(peers) > 0 && !slices.ContainsFunc(peers, func(p Peer) bool { return p.Addr == s.peer }) {
+			s.cancel() // it is none of the core any more
+		}
+	}
+	return out
+}
+
+// rank is the place in an order, the one behind it for what is not in it.
+func rank(order []string, addr string) int {
+	if i := slices.Index(order, addr); i >= 0 {
+		return i
+	}
+	return len(order)
+}
+
+// order ranks hubs for an agent: those of its zone first, then spread by hash.
+func (h *Hub) order(peers []Peer) []string {
+	rank := func(p Peer) uint32 {
+		f := fnv.New32a()
+		f.Write([]byte(h.o.Self.Addr + "|" + p.Addr))
+		x := f.Sum32() >> 1
+		if p.Zone != h.o.Self.Zone {
+			x |= 1 << 31
+		}
+		return x
+	}
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(rank(a), rank(b)) })
+	out := make([]string, len(peers))
+	for i, p := range peers {
+		out[i] = p.Addr
+	}
+	return out
+}
+
+func (h *Hub) hubs() []Peer {
+	peers := h.o.Core.Hubs()
+	if len(peers) == 0 {
+		for _, m := range h.Others(true) {
+			peers = append(peers, Peer{m.Addr, m.Zone})
+		}
+	}
+	return peers
+}
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -114,16 +113,6 @@
 	return nil
 }
 
-func (h *Hub) hubs() []Peer {
-	peers := h.o.Core.Hubs()
-	if len(peers) == 0 {
-		for _, m := range h.Others(true) {
-			peers = append(peers, Peer{m.Addr, m.Zone})
-		}
-	}
-	return peers
-}
-
 // session runs until the stream or ctx ends. theirs is the peer's hello; where this agent began the
 // session, mine is its own and first what came with theirs.
 func (h *Hub) session(ctx context.Context, st *stream, theirs *hello, peer string, mine *hello, first *message) error {
@@ -314,134 +303,3 @@
 		}
 	}
 }
-
-// dial keeps the sessions that this agent begins: a machine of the core with all others whose
-// address is above its own, any other agent with one hub.
-func (h *Hub) dial(ctx context.Context) {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	running := map[string]bool{} // by address
-	var mu sync.Mutex
-	turn := 0
-	for ctx.Err() == nil {
-		want := h.wanted(turn)
-		mu.Lock()
-		for _, addr := range want {
-			if running[addr] {
-				continue
-			}
-			running[addr] = true
-			wg.Go(func() {
-				h.dialOne(ctx, addr)
-				mu.Lock()
-				delete(running, addr)
-				mu.Unlock()
-			})
-		}
-		mu.Unlock()
-		if turn++; len(want) == 0 {
-			turn = 0
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(redial):
-		}
-	}
-}
-
-// wanted are the addresses that this agent should have a session with and has not. Sessions that
-// it began and should not have it ends.
-func (h *Hub) wanted(turn int) []string {
-	peers, core := h.o.Core.Hubs(), h.o.Core.IsCore()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	have := map[string]bool{}
-	for s := range h.sessions {
-		have[s.peer] = true
-	}
-	if core {
-		return h.wantedOfCore(peers, have)
-	}
-	order, now := h.order(slices.Clone(peers)), h.now()
-	best, sound := h.bestSession(order, now)
-	if best != nil {
-		h.endOthers(best, order, now)
-		return h.wantedOfOwnZone(best, peers, have, now)
-	}
-	if sound {
-		return nil
-	}
-	list, next := order, turn-turn/4
-	if more := append(slices.Clone(h.o.Seeds()), h.homeless...); len(list) == 0 {
-		list, next = more, turn
-	} else if turn%4 == 3 && len(more) > 0 {
-		list, next = more, turn/4
-	}
-	for range list {
-		if a := list[next%len(list)]; !have[a] && a != h.o.Self.Addr {
-			return []string{a}
-		}
-		next++
-	}
-	return nil
-}
-
-// wantedOfCore: the machine with the lower address begins the session.
-func (h *Hub) wantedOfCore(peers []Peer, have map[string]bool) (out []string) {
-	for _, p := range peers {
-		if p.Addr > h.o.Self.Addr && !have[p.Addr] {
-			out = append(out, p.Addr)
-		}
-	}
-	for s := range h.sessions {
-		if s.dialed && len(peers) > 0 && !slices.ContainsFunc(peers, func(p Peer) bool { return p.Addr == s.peer }) {
-			s.cancel() // it is none of the core any more
-		}
-	}
-	return out
-}
-
-// rank is the place in an order, the one behind it for what is not in it.
-func rank(order []string, addr string) int {
-	if i := slices.Index(order, addr); i >= 0 {
-		return i
-	}
-	return len(order)
-}
-
-func (h *Hub) dialOne(ctx context.Context, addr string) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	late := time.AfterFunc(helloWithin, cancel)
-	st, hangUp, err := rpc.OpenOver[message, message](ctx, h.o.Dialer, addr, "feed.session")
-	if err != nil {
-		return
-	}
-	defer hangUp()
-	core := h.o.Core.IsCore()
-	h.mu.Lock()
-	mine := &hello{Source: h.set.Self(), Addr: h.o.Self.Addr, Core: core, Vector: h.set.Vector()}
-	h.mu.Unlock()
-	if st.Send(&message{Hello: mine, Core: core, Linked: h.o.Core.Linked()}) != nil {
-		return
-	}
-	m, err := st.Recv()
-	if err != nil || !late.Stop() {
-		return
-	}
-	if m.Hello == nil {
-		h.mu.Lock()
-		h.homeless = nil
-		for _, p := range m.Redirect[:min(len(m.Redirect), 16)] {
-			h.homeless = append(h.homeless, p.Addr)
-		}
-		h.mu.Unlock()
-		return
-	}
-	if m.Hello.check() != nil {
-		return
-	}
-	event.SessionBegun.Log("peer", addr)
-	err = h.session(ctx, st, m.Hello, addr, mine, m)
-	event.SessionOver.Log("peer", addr, "err", err)
-}
