Give unexported names of the hub the standard terms

Cause: names such as tell, homeless, poke and left needed explaining. Change: tell, tellSelf and tellEnd are announce, announceSelf and announceEnd; homeless is redirects, poke and notes are noticeTimer and pendingNotices, note, takeNotes and noticed are addNotice, takeNotices and receiveNotices, said is reportedFull, left is leaving, beingTold is awaitingDeltas. Nothing else changes. Measured: go vet of all packages; go test -race of internal/hub once: ok.

--- a/internal/hub/catchup.go
+++ b/internal/hub/catchup.go
@@ -4,10 +4,10 @@
 // since.
 func (h *Hub) hasAll() bool { return h.synced && !h.behind }
 
-// beingTold tells whether a machine of the core is still sending its first deltas.
-func (h *Hub) beingTold() bool {
+// awaitingDeltas tells whether a machine of the core is still sending its first deltas.
+func (h *Hub) awaitingDeltas() bool {
 	for s := range h.sessions {
-		if s.core && !s.said {
+		if s.core && !s.reportedFull {
 			return true
 		}
 	}
@@ -19,7 +19,7 @@
 func (h *Hub) alone(hubs []Peer) bool {
 	full := map[string]bool{}
 	for s := range h.sessions {
-		if s.said {
+		if s.reportedFull {
 			full[s.peer] = full[s.peer] || s.full
 		}
 	}
--- a/internal/hub/dial.go
+++ b/internal/hub/dial.go
@@ -65,9 +65,9 @@
 	}
 	if m.Hello == nil {
 		h.mu.Lock()
-		h.homeless = nil
+		h.redirects = nil
 		for _, p := range m.Redirect[:min(len(m.Redirect), 16)] {
-			h.homeless = append(h.homeless, p.Addr)
+			h.redirects = append(h.redirects, p.Addr)
 		}
 		h.mu.Unlock()
 		return
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -95,29 +95,29 @@
 	o     Options
 	start time.Time
 
-	mu       sync.Mutex
-	set      *feed.Set
-	table    *inst.Table
-	leases   *lease.Table
-	members  map[string]Member // by source
-	journal  *ev.Journal[feed.Change]
-	sessions map[*session]bool
-	changed  chan struct{} // closed and made anew at each change
-	seq      uint64
-	doc      *conf.Doc
-	ended    map[string]time.Duration // that this hub tells
-	synced   bool                     // had all of a hub's feed once
-	behind   bool                     // was cut off from the core since, and has not had all again
-	returnAt time.Duration            // when to try the hubs of the own zone; 0: no need
-	granted  map[string]bool          // sources that it holds leases of
-	linked   time.Duration            // since when it is of the core and linked; 0: it is not
-	attached time.Duration            // since when it has a session with a linked hub; 0: it has none
-	left     bool                     // it has said that it ends
-	newest   bool                     // the core has been asked for the newest configuration
-	homeless []string                 // hubs that others named
-	last     Snapshot
-	shared   sharedMessage // the last long configuration, as it was sent
-	limit    *rate.Limiter // of the bytes that notices make others take
+	mu        sync.Mutex
+	set       *feed.Set
+	table     *inst.Table
+	leases    *lease.Table
+	members   map[string]Member // by source
+	journal   *ev.Journal[feed.Change]
+	sessions  map[*session]bool
+	changed   chan struct{} // closed and made anew at each change
+	seq       uint64
+	doc       *conf.Doc
+	ended     map[string]time.Duration // that this hub tells
+	synced    bool                     // had all of a hub's feed once
+	behind    bool                     // was cut off from the core since, and has not had all again
+	returnAt  time.Duration            // when to try the hubs of the own zone; 0: no need
+	granted   map[string]bool          // sources that it holds leases of
+	linked    time.Duration            // since when it is of the core and linked; 0: it is not
+	attached  time.Duration            // since when it has a session with a linked hub; 0: it has none
+	leaving   bool                     // it has said that it ends
+	newest    bool                     // the core has been asked for the newest configuration
+	redirects []string                 // hubs that others named
+	last      Snapshot
+	shared    sharedMessage // the last long configuration, as it was sent
+	limit     *rate.Limiter // of the bytes that notices make others take
 	// fullReports bounds how often a full list is logged.
 	fullReports rate.Sometimes
 }
@@ -141,7 +141,7 @@
 	})
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.tellSelf()
+	h.announceSelf()
 	h.restore()
 	return h
 }
@@ -157,8 +157,8 @@
 	return b
 }
 
-// tell changes an item of the own source. The lock is held, as in all that follow.
-func (h *Hub) tell(key string, data []byte) uint64 {
+// announce changes an item of the own source, which reaches all. The lock is held, as in all that follow.
+func (h *Hub) announce(key string, data []byte) uint64 {
 	ver := h.set.Put(key, data)
 	h.journal.Append(feed.Change{Source: h.set.Self(), Item: feed.Item{Key: key, Ver: ver, Data: data}})
 	h.wake()
@@ -204,7 +204,7 @@
 		case !isAgent(agent):
 		case h.set.Dropped(agent):
 			if data != nil && !own {
-				h.tellEnd(agent) // who granted it doesn't know
+				h.announceEnd(agent) // who granted it doesn't know
 			}
 		case data == nil:
 			h.leases.Release(now, agent, c.Source)
@@ -218,7 +218,7 @@
 		}
 		h.end(source)
 		if source == c.Source {
-			h.tellEnd(source) // it has said so itself, and its own words end with it
+			h.announceEnd(source) // it has said so itself, and its own words end with it
 		}
 	}
 }
@@ -271,15 +271,15 @@
 	now := h.now()
 	if core != h.o.Self.Core {
 		h.o.Self.Core = core
-		h.tellSelf()
+		h.announceSelf()
 	}
 	tell, untell := h.table.Tick(now)
 	for _, in := range tell {
 		event.ServerSilent.Log("id", in.ID)
-		h.tell(instPrefix+in.ID, encode(in))
+		h.announce(instPrefix+in.ID, encode(in))
 	}
 	for _, id := range untell {
-		h.tell(instPrefix+id, nil)
+		h.announce(instPrefix+id, nil)
 	}
 	attached := false
 	for s := range h.sessions {
@@ -294,7 +294,7 @@
 	if core && !linked {
 		h.behind = true
 	}
-	if core && linked && !h.hasAll() && h.newest && (now-h.linked > aloneFor && !h.beingTold() || h.alone(hubs)) {
+	if core && linked && !h.hasAll() && h.newest && (now-h.linked > aloneFor && !h.awaitingDeltas() || h.alone(hubs)) {
 		// Nobody who could know more has shown up: the whole core has just started, or joined again.
 		if !h.synced {
 			event.SyncedAlone.Log("config", h.seq, "linked", now-h.linked)
@@ -307,7 +307,7 @@
 	for source, at := range h.ended {
 		if now-at > endedFor {
 			delete(h.ended, source)
-			h.tell(endPrefix+source, nil)
+			h.announce(endPrefix+source, nil)
 		}
 	}
 	if h.set.Stale() {
--- a/internal/hub/life_test.go
+++ b/internal/hub/life_test.go
@@ -43,7 +43,7 @@
 // meet gives a hub a session with a peer, which says nothing by itself.
 func (s *still) meet(peer, source string, core bool) *session {
 	x := &session{peer: peer, source: source, core: core, has: feed.Vector{}, heard: s.now(), since: s.now(), begun: s.now() - time.Minute, cancel: func() {},
-		received: func() uint64 { return 0 }, held: feed.Vector{}, unacked: map[string]bool{}, replicatedChanged: make(chan struct{}, 1), poke: time.NewTimer(time.Hour)}
+		received: func() uint64 { return 0 }, held: feed.Vector{}, unacked: map[string]bool{}, replicatedChanged: make(chan struct{}, 1), noticeTimer: time.NewTimer(time.Hour)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sessions[x] = true
@@ -171,8 +171,8 @@
 		s.Beat(t.Context(), server("s", uint64(2*i+1)))
 		s.Beat(t.Context(), server(fmt.Sprint("r", i), 1))
 		s.mu.Lock()
-		s.tell("gone", one) // versions that the new life has not
-		s.tell("gone", nil)
+		s.announce("gone", one) // versions that the new life has not
+		s.announce("gone", nil)
 		s.mu.Unlock()
 	}
 	done := make(chan bool)
@@ -234,8 +234,8 @@
 	old := s.source()
 	s.mu.Lock()
 	for i := range 3000 {
-		s.tell(fmt.Sprint("x", i), one)
-		s.tell(fmt.Sprint("x", i), nil)
+		s.announce(fmt.Sprint("x", i), one)
+		s.announce(fmt.Sprint("x", i), nil)
 	}
 	s.mu.Unlock()
 	s.tick()
@@ -441,7 +441,7 @@
 	}
 	// Without any known hub the seeds, and those that others named.
 	s = newStill("a", false)
-	s.homeless = []string{"named", "addr of a"}
+	s.redirects = []string{"named", "addr of a"}
 	count = map[string]int{}
 	for turn := range 20 {
 		for _, a := range s.wanted(turn) {
--- a/internal/hub/members.go
+++ b/internal/hub/members.go
@@ -31,22 +31,22 @@
 	return h.o.Self.Name + "/" + hex.EncodeToString(b[:])
 }
 
-func (h *Hub) tellSelf() { h.tell(memberKey, encode(&h.o.Self)) }
+func (h *Hub) announceSelf() { h.announce(memberKey, encode(&h.o.Self)) }
 
 // Ending tells the others that this agent is about to end.
 func (h *Hub) Ending() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.o.Self.Ending = true
-	h.tellSelf()
+	h.announceSelf()
 }
 
 // Bye tells that it ends now; it waits until a hub knows, which tells the others.
 func (h *Hub) Bye(ctx context.Context) {
 	h.mu.Lock()
-	h.left = true
+	h.leaving = true
 	life := h.set.Self()
-	ver := h.tell(endPrefix+life, []byte{1})
+	ver := h.announce(endPrefix+life, []byte{1})
 	h.mu.Unlock()
 	h.awaitReceived(ctx, life, ver)
 }
@@ -70,7 +70,7 @@
 func (h *Hub) end(source string) {
 	now := h.now()
 	if source == h.set.Self() {
-		if !h.left {
+		if !h.leaving {
 			h.rebase()
 		}
 		return
@@ -89,13 +89,13 @@
 	}
 }
 
-// tellEnd tells all that a source has ended; only machines of the core do.
-func (h *Hub) tellEnd(source string) {
+// announceEnd announces that a source has ended; only machines of the core do.
+func (h *Hub) announceEnd(source string) {
 	if _, told := h.ended[source]; told || !h.o.Self.Core {
 		return
 	}
 	h.ended[source] = h.now()
-	h.tell(endPrefix+source, []byte{1})
+	h.announce(endPrefix+source, []byte{1})
 }
 
 func (h *Hub) rebase() {
@@ -112,7 +112,7 @@
 		s.cancel() // it began with the old name, and what the peer has is of that
 		delete(h.sessions, s)
 	}
-	h.tellSelf()
+	h.announceSelf()
 }
 
 // lapse ends sources that nobody holds a lease of. A machine of the core does so for all, once it
@@ -134,7 +134,7 @@
 		}
 		event.Lapsed.Log("source", source)
 		if tells {
-			h.tellEnd(source)
+			h.announceEnd(source)
 		}
 		h.end(source)
 	}
@@ -152,13 +152,13 @@
 	for source := range held {
 		if !h.granted[source] {
 			h.granted[source] = true
-			h.tell(leasePrefix+source, []byte{1})
+			h.announce(leasePrefix+source, []byte{1})
 		}
 	}
 	for source := range h.granted {
 		if !held[source] {
 			delete(h.granted, source)
-			h.tell(leasePrefix+source, nil)
+			h.announce(leasePrefix+source, nil)
 		}
 	}
 }
--- a/internal/hub/notice.go
+++ b/internal/hub/notice.go
@@ -56,7 +56,7 @@
 	}
 	out := notice{Instance: n.Instance, Chain: n.Chain, Prompt: n.Prompt, Uncached: n.Uncached, at: h.now()}
 	for s := range h.sessions {
-		s.note(out)
+		s.addNotice(out)
 	}
 }
 
@@ -70,8 +70,8 @@
 	return all / float64(agents)
 }
 
-// noticed takes notices of a peer and passes them on.
-func (h *Hub) noticed(s *session, notices []notice) {
+// receiveNotices takes notices of a peer and passes them on.
+func (h *Hub) receiveNotices(s *session, notices []notice) {
 	if len(notices) > maxNotices {
 		notices = notices[:maxNotices]
 	}
@@ -91,26 +91,26 @@
 		}
 		for other := range h.sessions {
 			if other != s && !(s.core && other.core) {
-				other.note(n)
+				other.addNotice(n)
 			}
 		}
 	}
 }
 
-// note has a notice sent soon. The hub's lock is held.
-func (s *session) note(n notice) {
-	if len(s.notes) >= maxNotices {
+// addNotice has a notice sent soon. The hub's lock is held.
+func (s *session) addNotice(n notice) {
+	if len(s.pendingNotices) >= maxNotices {
 		return
 	}
-	if s.notes = append(s.notes, n); len(s.notes) == 1 {
-		s.poke.Reset(noticeEvery)
+	if s.pendingNotices = append(s.pendingNotices, n); len(s.pendingNotices) == 1 {
+		s.noticeTimer.Reset(noticeEvery)
 	}
 }
 
-// takeNotes are the notices to send now. The hub's lock is held.
-func (h *Hub) takeNotes(s *session) []notice {
-	out := s.notes
-	s.notes = nil
+// takeNotices are the notices to send now. The hub's lock is held.
+func (h *Hub) takeNotices(s *session) []notice {
+	out := s.pendingNotices
+	s.pendingNotices = nil
 	now := h.now()
 	for i := range out {
 		out[i].AgeMs = int((now - out[i].at).Milliseconds())
--- a/internal/hub/peer_test.go
+++ b/internal/hub/peer_test.go
@@ -134,7 +134,7 @@
 	var filling []*session
 	for len(h.hub.sessions) < maxSessions {
 		x := &session{source: "x/1", has: feed.Vector{}, heard: h.hub.now() + time.Hour, cancel: func() {}, received: func() uint64 { return 0 },
-			poke: time.NewTimer(time.Hour)}
+			noticeTimer: time.NewTimer(time.Hour)}
 		h.hub.sessions[x] = true
 		filling = append(filling, x)
 	}
--- a/internal/hub/selection.go
+++ b/internal/hub/selection.go
@@ -106,7 +106,7 @@
 		return nil
 	}
 	list, next := order, turn-turn/4
-	if more := append(slices.Clone(h.o.Seeds()), h.homeless...); len(list) == 0 {
+	if more := append(slices.Clone(h.o.Seeds()), h.redirects...); len(list) == 0 {
 		list, next = more, turn
 	} else if turn%4 == 3 && len(more) > 0 {
 		list, next = more, turn/4
--- a/internal/hub/servers.go
+++ b/internal/hub/servers.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		if h.table.Restore(h.now(), in) {
-			h.tell(instPrefix+in.ID, encode(in))
+			h.announce(instPrefix+in.ID, encode(in))
 		}
 	}
 	event.Restored.Log("servers", len(s.Servers))
@@ -103,7 +103,7 @@
 		h.reportFull(id)
 	}
 	if told != nil {
-		h.tell(instPrefix+id, encode(told))
+		h.announce(instPrefix+id, encode(told))
 		h.publish()
 	}
 	return h.set.Self(), h.set.Own()
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -71,18 +71,18 @@
 	replicatedChanged chan struct{}
 	linked            bool
 	full              bool          // the peer has had all that a hub knows
-	said              bool          // it has said whether
+	reportedFull      bool          // it has told whether it has had all
 	heard             time.Duration // when the last whole message came
 	since             time.Duration // unlinked since
 	begun             time.Duration
 	// received counts the bytes that the peer has sent; bytes is what it was at the last tick,
 	// progress when it had risen.
-	received func() uint64
-	bytes    uint64
-	progress time.Duration
-	cancel   context.CancelFunc
-	notes    []notice    // to be sent
-	poke     *time.Timer // when
+	received       func() uint64
+	bytes          uint64
+	progress       time.Duration
+	cancel         context.CancelFunc
+	pendingNotices []notice
+	noticeTimer    *time.Timer // when the pending notices are to be sent
 }
 
 // answer serves a session that a peer began.
@@ -134,12 +134,12 @@
 		return refusal
 	}
 	if h.set.Dropped(theirs.Source) {
-		h.tellEnd(theirs.Source) // it was away when that was told
+		h.announceEnd(theirs.Source) // it was away when that was told
 	}
 	s := &session{peer: peer, source: theirs.Source, core: theirs.Core, dialed: first != nil, has: maps.Clone(theirs.Vector),
-		heard: h.now(), since: h.now(), begun: h.now(), received: st.Received, cancel: cancel, poke: time.NewTimer(time.Hour),
+		heard: h.now(), since: h.now(), begun: h.now(), received: st.Received, cancel: cancel, noticeTimer: time.NewTimer(time.Hour),
 		held: feed.Vector{}, unacked: map[string]bool{}, replicatedChanged: make(chan struct{}, 1)}
-	defer s.poke.Stop()
+	defer s.noticeTimer.Stop()
 	if s.has == nil {
 		s.has = feed.Vector{}
 	}
@@ -192,7 +192,7 @@
 	}
 	s.core, s.linked = m.Core, m.Linked
 	if m.Hello == nil { // a hello comes before the deltas, and can't tell
-		s.full, s.said = m.Full, true
+		s.full, s.reportedFull = m.Full, true
 	}
 	h.apply(m.Deltas)
 	for i := range m.Deltas {
@@ -203,7 +203,7 @@
 	if core && s.core {
 		h.replicate(s, m, hubs)
 	}
-	h.noticed(s, m.Notices)
+	h.receiveNotices(s, m.Notices)
 	if m.Got > s.got && m.Got <= h.set.Own() {
 		s.got = m.Got
 		h.wake()
@@ -292,9 +292,9 @@
 			case <-beat.C:
 				due = true
 				break wait
-			case <-s.poke.C:
+			case <-s.noticeTimer.C:
 				h.mu.Lock()
-				m := &message{Core: core, Linked: link, Full: full, Got: got, Replicated: replicated, Notices: h.takeNotes(s)}
+				m := &message{Core: core, Linked: link, Full: full, Got: got, Replicated: replicated, Notices: h.takeNotices(s)}
 				h.mu.Unlock()
 				if err := st.Send(m); err != nil {
 					return err
