--- /dev/null
+++ b/cmd/controlsim/main.go
@@ -0,0 +1,95 @@
+// Command controlsim plays control sides in virtual time from seeds and looks for broken promises:
+// see internal/lab/controlsim.
+package main
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
+
+	"chalkdoor.example/chalkdoor/internal/lab/controlsim"
+)
+
+type cli struct {
+	Hunt   huntCmd   `cmd:"" help:"Play many seeds and sum up by point. Status 1: a promise was broken."`
+	Replay replayCmd `cmd:"" help:"Play one seed twice and print its log. Status 1: a promise was broken."`
+	Work   workCmd   `cmd:"" hidden:"" help:"A worker of a hunt."`
+}
+
+type replayCmd struct {
+	Seed  uint64 `arg:"" help:"The seed."`
+	Point int    `required:"" help:"The operators' point, 1 to 5."`
+}
+
+func (c *replayCmd) Validate() error {
+	_, err := points(strconv.Itoa(c.Point))
+	return err
+}
+
+func (c *replayCmd) Run() error {
+	return inTest(func(t *testing.T) {
+		broken, err := controlsim.Replay(t, c.Point, c.Seed, os.Stdout)
+		if err != nil || broken {
+			t.Errorf("a promise was broken, or the log could not be written: %v", err)
+		}
+	})
+}
+
+type workCmd struct {
+	Point   string        `default:"all"`
+	First   uint64        `required:""`
+	Step    uint64        `required:""`
+	End     uint64        `required:""`
+	Minutes time.Duration `default:"0s"`
+}
+
+func (c *workCmd) Run() error {
+	list, err := points(c.Point)
+	if err != nil {
+		return err
+	}
+	w := controlsim.Work{Points: list, First: c.First, Step: max(1, c.Step), End: c.End}
+	if c.Minutes > 0 {
+		w.Until = time.Now().Add(c.Minutes)
+	}
+	return inTest(func(t *testing.T) {
+		if err := w.Play(t, os.Stdout); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// points are the points that a flag names.
+func points(text string) ([]int, error) {
+	if text == "all" {
+		var all []int
+		for p := range controlsim.Points {
+			all = append(all, p+1)
+		}
+		return all, nil
+	}
+	p, err := strconv.Atoi(text)
+	if err != nil || p < 1 || p > controlsim.Points {
+		return nil, errors.Errorf("point %q: give 1 to %d, or all", text, controlsim.Points)
+	}
+	return []int{p}, nil
+}
+
+// inTest runs a function as a test, which virtual time asks for, and ends the process by its result.
+func inTest(fn func(*testing.T)) error {
+	os.Args = os.Args[:1] // the arguments are not the test's
+	any := func(string, string) (bool, error) { return true, nil }
+	testing.Main(any, []testing.InternalTest{{Name: "controlsim", F: fn}}, nil, nil)
+	return nil
+}
+
+func main() {
+	testing.Init()
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("controlsim"), kong.Description("Control sides in virtual time, from seeds."), kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
