Let agents end just after their hub was cut off, with many drains

Cause: servers drained too seldom for a drain to fall into the moments after a cut, and agents lived on and spread it themselves over their next hub. Change: point 1 has ten servers that drain every other second, and up to three agents that are killed or lose power within 900 ms of the cut.

--- a/internal/lab/controlsim/scenarios.go
+++ b/internal/lab/controlsim/scenarios.go
@@ -20,6 +20,7 @@
 
 	operators   int
 	servers     int
+	beatsAtMost int // of a server before it drains
 	callers     int
 	orderEvery  time.Duration // of one operator, on average
 	readShare   float64
@@ -36,7 +37,7 @@
 func newSetup(point int, seed uint64) setup {
 	random := rand.New(rand.NewPCG(seed, uint64(point)))
 	s := setup{point: point, seed: seed, core: 3 + random.IntN(3), agents: 3 + random.IntN(4), losses: 1, settle: 12 * time.Second,
-		operators: 2, servers: 2, orderEvery: 400 * time.Millisecond, readShare: 0.5}
+		operators: 2, servers: 2, orderEvery: 400 * time.Millisecond, readShare: 0.5, beatsAtMost: 12}
 	if seed%largeEvery == largeEvery-1 {
 		s.core, s.agents = 5+random.IntN(5), 20+random.IntN(21)
 	}
@@ -77,7 +78,7 @@
 // cutOff is point 1: a machine of the core is cut off for about twenty seconds, orders race at its
 // return, and it, or another one, is cut off again.
 func (s *setup) cutOff(random *rand.Rand) {
-	s.operators, s.servers = 3, 3
+	s.operators, s.servers, s.beatsAtMost = 3, 10, 2
 	s.length = 34 * time.Second
 	first := s.newCut(random, between(random, 2*time.Second, 4*time.Second), between(random, 17*time.Second, 22*time.Second))
 	again := s.newCut(random, first.At+first.For+between(random, 50*time.Millisecond, 4*time.Second), between(random, time.Second, 4*time.Second))
@@ -85,6 +86,10 @@
 		again.Place, again.Index = Member, first.Index
 	}
 	s.faults = []Fault{first, again}
+	for i := range random.IntN(4) { // agents that end just after their hub was cut off: what they took has to be known
+		s.faults = append(s.faults, Fault{Kind: one(random, Kill, PowerLoss), Place: Agent, Index: i, At: first.At + between(random, 50*time.Millisecond, 900*time.Millisecond),
+			For: between(random, time.Second, 3*time.Second)})
+	}
 }
 
 // races is point 2: operators race under one number and repeat orders whose answers were lost, while
--- a/internal/lab/controlsim/servers.go
+++ b/internal/lab/controlsim/servers.go
@@ -12,8 +12,6 @@
 const (
 	// beatWait bounds one call of a server.
 	beatWait = 950 * time.Millisecond
-	// lifeBeats is how many beats a server makes at most before it drains.
-	lifeBeats = 12
 	// leavePatience is how long a server repeats a drain or a leave without an answer.
 	leavePatience = 10 * time.Second
 )
@@ -32,9 +30,9 @@
 func (s *server) work(ctx context.Context) {
 	for life := 1; ctx.Err() == nil; life++ {
 		id := fmt.Sprintf("server-%d-%d", s.index, life)
-		for range 2 + s.random.IntN(lifeBeats) {
+		for range 1 + s.random.IntN(s.run.setup.beatsAtMost) {
 			s.beat(ctx, id, inst.Ready)
-			pause(ctx, beatEvery)
+			pause(ctx, beatEvery/2+time.Duration(s.random.Int64N(int64(beatEvery))))
 		}
 		if s.repeat(ctx, func() bool { return s.beat(ctx, id, inst.Draining) }) {
 			s.run.referee.drained(id)
