Answer by the route's time-out also while a body comes and while a client does not read

Cause: a body had ten seconds to come, whatever the route's timeout-ms and the client's deadline, and a write to a client that does not read had ten more, in which its server stayed held. Change: a body is read until the request's own time at the latest (408: it has not run). Writes end a quarter of a second after that time, also one that blocks; the handler waits for the timer that ends them, so that the next request of the connection never meets it.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -41,6 +41,8 @@
 	// restTime is how long the rest of a body may take that is not used, lastTime how long requests
 	// may take to end that are broken off.
 	restTime, lastTime = 200 * time.Millisecond, 300 * time.Millisecond
+	// answerTime is how long after a request's time its last answer may take to be written.
+	answerTime = 250 * time.Millisecond
 	// checkTime bounds a check of a server's health.
 	checkTime = 500 * time.Millisecond
 )
@@ -245,9 +247,25 @@
 			return
 		}
 	}
+	defer boundWrites(w, r.deadline.Add(answerTime))()
 	d.serve(req.Context(), w, r)
 }
 
+// boundWrites ends writes to a client at a given time, as one that does not read holds its server.
+// The function that it returns takes that back: the next request of the connection has its own.
+func boundWrites(w http.ResponseWriter, by time.Time) (release func()) {
+	ended := make(chan struct{})
+	timer := time.AfterFunc(time.Until(by), func() {
+		defer close(ended)
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now()) // a closed connection takes no writes
+	})
+	return func() {
+		if !timer.Stop() {
+			<-ended
+		}
+	}
+}
+
 type sockKey struct{}
 
 // connContext lets a handler find its connection.
--- a/internal/door/request.go
+++ b/internal/door/request.go
@@ -175,7 +175,7 @@
 	return route.Splits[0].Service
 }
 
-// readBody reads the whole body within the limits.
+// readBody reads the whole body within the limits and the request's time.
 func (d *Door) readBody(w http.ResponseWriter, req *http.Request, r *request, snap *hub.Snapshot) error {
 	most := snap.Doc.Limits.BodyBytes
 	if most <= 0 {
@@ -187,7 +187,11 @@
 	if req.ContentLength == 0 {
 		return nil
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
+	by := time.Now().Add(bodyTime)
+	if r.deadline.Before(by) {
+		by = r.deadline
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(by)
 	var buf bytes.Buffer
 	src := http.MaxBytesReader(nil, req.Body, most)
 	_, err := io.CopyN(&buf, src, freeBody)
