Pass on what a client says of its request also where Connection names it

Cause: fields that Connection names are dropped as those of one connection, Chalkdoor-Model, Chalkdoor-Token-Count, Chalkdoor-Prompt-Prefix and Last-Event-Id among them: a server then ran a request without what its client said of it. Change: these fields reach the server as they came, as Chalkdoor-Attempt-Id did already.

--- a/internal/door/request.go
+++ b/internal/door/request.go
@@ -34,6 +34,10 @@
 	hPriority = "Priority"
 )
 
+// clientFields are what a client says of its request. They reach the server as they came, also
+// where Connection names them.
+var clientFields = []string{hModel, hTokens, hPrefix, hLast}
+
 const (
 	// maxParts bounds the parts of a prompt, maxDeadline the time that a client may give.
 	maxParts, maxDeadline = 64, 10 * time.Minute
@@ -231,6 +235,11 @@
 	h := h1.EndToEnd(r.header)
 	h.Del("Content-Length")
 	h.Del("Host")
+	for _, name := range clientFields {
+		if values, ok := r.header[name]; ok {
+			h[name] = values
+		}
+	}
 	h.Set(hDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	h.Set(hExpect, instance)
 	h.Set(hID, r.id) // also where Connection names it
--- a/internal/door/request_test.go
+++ b/internal/door/request_test.go
@@ -88,6 +88,37 @@
 	require.Equal(t, "q", a.body)
 }
 
+// What the client says of its request reaches the server as it came, at each send.
+func TestFieldsReachTheServerAsTheyCame(t *testing.T) {
+	fields := map[string][]string{
+		hModel: {"Model/v1.5:large"}, hTokens: {"0001460, 80"}, hPrefix: {"5C1E07A2:800,91bd3f06:0410,,x"}, hID: {"Id-0x9C\xe9"},
+		"X-Unknown": {"1", "", "a,  b; \"c\""}, "Chalkdoor-Unknown": {"\xff."}, "X_under.score!": {"~"}, "Traceparent": {"00-0af7-b7ad-01"},
+	}
+	for _, connection := range []string{"", "Connection: keep-alive, chalkdoor-model, Chalkdoor-Token-Count, CHALKDOOR-PROMPT-PREFIX, chalkdoor-attempt-id\r\n"} {
+		w := newWorld(t, 2, func(a *arrival, n int) bool {
+			if n == 0 {
+				return a.answer(503, hNotRun+": 1\r\n", "")
+			}
+			return a.serve()
+		})
+		request := "POST /once/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n" + connection
+		for name, values := range fields {
+			for _, value := range values {
+				request += name + ": " + value + "\r\n"
+			}
+		}
+		resp, _ := w.ask(request + "\r\n")
+		require.Equal(t, 200, resp.StatusCode)
+		for range 2 {
+			a := w.next()
+			for name, values := range fields {
+				require.Equal(t, values, a.header[http.CanonicalHeaderKey(name)], name)
+			}
+			require.NotContains(t, a.header, "Connection")
+		}
+	}
+}
+
 func TestTheDeadlineShrinks(t *testing.T) {
 	w := newWorld(t, 2, func(a *arrival, n int) bool {
 		if n == 0 && a.await(50*time.Millisecond) {
