Close a server's connection when its client leaves, so that no later deadline undoes it

Cause: the end of a request set a past deadline on its server's connection. A deadline that the request's own goroutine set right after that took its place: before the request was written, and while a body was read. The server then worked on until the request's deadline. Change: the connection is closed in place of that.

--- a/internal/door/attempt.go
+++ b/internal/door/attempt.go
@@ -39,7 +39,7 @@
 		return t.notConnected(ctx, err)
 	}
 	_ = t.cn.SetWriteDeadline(r.deadline) // one that is closed fails its writes
-	stop := context.AfterFunc(ctx, func() { t.cn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { t.cn.Close() })
 	defer func() { t.release(stop()) }()
 	if !t.listed() {
 		t.reusable = true
