--- a/internal/door/leave_test.go
+++ b/internal/door/leave_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // Nothing is sent for a client that has left before its body was whole.
@@ -30,10 +31,15 @@
 
 // A client that leaves while its server does not read has the server's connection closed at once.
 func TestAClientThatLeavesWhileItsRequestIsSent(t *testing.T) {
-	const long = 12 << 20 // more than the buffers of a connection hold
+	const long = 12 << 20 // more than the buffers of a connection hold, whose receiver has a small one
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		require.NoError(t, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 16<<10))
+	}))
 	w := newWorld(t, 0, nil)
 	w.add(&server{ln: ln}, "s")
 	doc := w.doc("")
