--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -467,3 +467,51 @@
 	require.False(t, linked)
 	require.False(t, s.Linked)
 }
+
+// A view that a member has only heard of is learned by its own ticks.
+func TestHeardViewIsLearned(t *testing.T) {
+	t.Parallel()
+	out, p, s := cutOff(t, 2)
+	next, _ := out.m.View()
+	p.m.hear(&next)
+	learned := func() bool { return p.m.replica().View.Number >= next.Number }
+	s.until(callFor(t, bound), learned)
+	require.True(t, learned())
+}
+
+// A tail that has heard of a newer view, and has not learned it yet, sends readers there.
+func TestTailThatHeardOfANewerViewTellsIt(t *testing.T) {
+	t.Parallel()
+	out, tail, _ := cutOff(t, 3)
+	ctx := callFor(t, bound)
+	require.NoError(t, tail.m.hold(ctx)) // it learns nothing
+	defer tail.m.give()
+	next, _ := out.m.View()
+	tail.m.hear(&next)
+	answer, err := tail.m.onRead(ctx, &none{})
+	require.NoError(t, err)
+	require.False(t, answer.OK)
+	require.NotNil(t, answer.Newer)
+	require.Equal(t, next.Number, answer.Newer.Number)
+}
+
+// What is done within a view ends with it, also where the view was over before.
+func TestPushEndsWithItsView(t *testing.T) {
+	t.Parallel()
+	_, p, _ := cutOff(t, 2)
+	m, ctx := p.m, callFor(t, patience)
+	v := m.replica().View
+	during, cancel := m.within(ctx, v.Number, patience)
+	defer cancel()
+	require.NoError(t, during.Err())
+	next := v.Drop(v.Tail().ID)
+	require.NoError(t, m.learn(ctx, &next))
+	select {
+	case <-during.Done():
+	case <-callFor(t, bound).Done():
+		require.Fail(t, "it outlives the view")
+	}
+	after, cancelAfter := m.within(ctx, v.Number, patience)
+	defer cancelAfter()
+	require.ErrorIs(t, after.Err(), context.Canceled)
+}
--- a/internal/store/sync_test.go
+++ b/internal/store/sync_test.go
@@ -21,3 +21,18 @@
 	require.True(t, ok)
 	require.Equal(t, "3", string(got))
 }
+
+// After a failed write the file is read anew, so that the next write is a good one.
+func TestFailedWriteIsReadAnew(t *testing.T) {
+	t.Parallel()
+	s, _, err := Open(t.TempDir())
+	require.NoError(t, err)
+	defer s.Close()
+	require.NoError(t, s.Put("name", []byte("1")))
+	require.NoError(t, s.db.Close())
+	require.Error(t, s.Put("name", []byte("2")))
+	require.NoError(t, s.Put("name", []byte("3")))
+	got, ok := s.Get("name")
+	require.True(t, ok)
+	require.Equal(t, "3", string(got))
+}
