Count a dead member's last word on its copy in later views too

Cause: a peer counted as complete only by a word of the newest view. With two dead members at the head and a join that had to come first, neither could be dropped: the next head would have been the other one, whose word was of the view before the join. Orders stood still until one came back.

Change: a word that a copy is complete holds for as long as its member stays in the chain (completeLocked): nothing is acknowledged in later views without it.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -39,6 +39,7 @@
 type proc struct {
 	t       testing.TB
 	addr    string
+	zone    string
 	dir     string
 	m       *Member
 	stop    context.CancelFunc
@@ -54,7 +55,8 @@
 	t     testing.TB
 	seeds []string
 	procs []*proc
-	loss  int
+	loss  int // of machines
+	zones int // losses of zones
 	check chain.Check
 
 	mu   sync.Mutex
@@ -198,7 +200,7 @@
 		n := machines.Add(1)
 		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, n/250, 1+n%250))
 		require.NoError(t, err)
-		p := &proc{t: t, addr: ln.Addr().String()}
+		p := &proc{t: t, zone: "z", addr: ln.Addr().String()}
 		require.NoError(t, ln.Close())
 		if i < disks {
 			p.dir = stateDir(t)
@@ -231,8 +233,8 @@
 	if p.ack == 0 {
 		p.ack = 5 * time.Second
 	}
-	m, err := Open(Options{Addr: p.addr, Zone: "z", Dir: p.dir, HasDisk: p.dir != "", FirstStart: first,
-		Seeds: func() []string { return s.seeds }, Losses: s.loss, Counted: true, Pool: pool, Check: s.check, AckWithin: p.ack,
+	m, err := Open(Options{Addr: p.addr, Zone: p.zone, Dir: p.dir, HasDisk: p.dir != "", FirstStart: first,
+		Seeds: func() []string { return s.seeds }, Losses: s.loss, ZoneLosses: s.zones, Counted: true, Pool: pool, Check: s.check, AckWithin: p.ack,
 		OnCommit: func(v chain.Value) {
 			p.mu.Lock()
 			p.commits = append(p.commits, v.Seq)
--- a/internal/core/handover_test.go
+++ b/internal/core/handover_test.go
@@ -179,3 +179,44 @@
 		require.Equal(t, int64(20), p.read().Revision)
 	}
 }
+
+// Whole zones are lost one after the other, the next one as soon as the last one's machines hold
+// everything or stand by.
+func TestZonesAreLostOneAfterTheOther(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 6, 1)
+	s.zones = 1
+	for i, p := range s.procs[:6] {
+		p.zone = string(rune('a' + i%3))
+	}
+	s.startAll(true)
+	out := s.procs[6]
+	require.Equal(t, chain.Taken, out.order(0, 1).Kind)
+	for i, zone := range []string{"a", "b", "c", "a"} {
+		for _, p := range s.procs[:6] {
+			p.until("it is in touch", p.m.Linked)
+			p.until("it is whole where it is in the chain", func() bool {
+				status := p.m.Status()
+				return len(status.View.Chain) >= 4 && (status.Place < 0 || status.Whole)
+			})
+		}
+		for _, p := range s.procs[:6] {
+			if p.zone == zone {
+				p.kill()
+			}
+		}
+		out.inTime(int64(i+1), int64(i+2))
+		v, _ := out.m.View()
+		zones := map[string]bool{}
+		for _, l := range v.Chain {
+			zones[l.Zone] = true
+		}
+		require.GreaterOrEqual(t, len(zones), 2)
+		for _, p := range s.procs[:6] {
+			if p.zone == zone {
+				s.start(p, false)
+			}
+		}
+	}
+	require.Equal(t, int64(5), out.read().Revision)
+}
--- a/internal/core/repair.go
+++ b/internal/core/repair.go
@@ -126,8 +126,7 @@
 		if h.Silent < silent && !p.contact.IsZero() && !p.well.Before(m.awake) {
 			h.Well = max(1, now.Sub(p.well))
 		}
-		i := m.view.Place(id)
-		h.Complete = i >= 0 && (m.view.Chain[i].Since == 1 || p.said.View == m.view.Number && p.said.Complete)
+		h.Complete = m.completeLocked(&p.said)
 		out[id] = h
 	}
 	r := m.replicaLocked()
@@ -136,6 +135,18 @@
 	return out
 }
 
+// completeLocked tells whether a peer holds everything, by its last word. A member that did holds it
+// for as long as it stays in the chain, also where it has not heard of later views: nothing was
+// acknowledged in these without it.
+func (m *Member) completeLocked(said *ping) bool {
+	i := m.view.Place(said.Peer.ID)
+	if i < 0 {
+		return false
+	}
+	since := m.view.Chain[i].Since
+	return since == 1 || said.Complete && said.View >= since && said.View <= m.view.Number
+}
+
 // repair proposes the next step for the view when it is this member's turn: at once for the first
 // healthy member of the chain, later for each further one.
 func (m *Member) repair(now time.Time) {
