Print three violations of a simulated play at most

Cause: a defect that every machine shows filled the screen before the seed and its faults could be read.

--- a/cmd/controlsim/hunt.go
+++ b/cmd/controlsim/hunt.go
@@ -22,6 +22,8 @@
 const (
 	// progressEvery is the pause between two lines of progress.
 	progressEvery = 10 * time.Second
+	// printAtMost bounds the violations that are printed of one play: the log has all.
+	printAtMost = 3
 	// maxLine bounds a worker's line: the log of a run and some more.
 	maxLine = 64 << 20
 )
@@ -129,14 +131,14 @@
 	}
 	t.broken++
 	h.failed = true
-	for _, v := range p.Result.Violations {
+	for _, v := range p.Result.Violations[:min(printAtMost, len(p.Result.Violations))] {
 		fmt.Fprintf(h.out, "point %d %v\n", p.Point, v)
 	}
 	fmt.Fprintf(h.out, "point %d seed %d: %d of its %d faults are enough:\n", p.Point, p.Seed, len(p.Fewest), p.Faults)
 	for _, f := range p.Fewest {
 		fmt.Fprintf(h.out, "  %v\n", f)
 	}
-	for _, v := range p.Shorter.Violations {
+	for _, v := range p.Shorter.Violations[:min(printAtMost, len(p.Shorter.Violations))] {
 		fmt.Fprintf(h.out, "  breaks: %v\n", v)
 	}
 }
