Hand a vote over so that the others bear most, also once all are back

Cause: the simulated plan found, with larger cores, losses that last as long as ack-ms, and newcomers that die: a vote swapped for a stand-by of a zone that then held too many votes, where retiring it bore more; and further newcomers admitted while one that had just been was on its way into the chain.

Change: handOverVote compares retirement and swap by what is borne now and once all are there; for a leaving member one newcomer is admitted at a time.

--- a/internal/view/plan.go
+++ b/internal/view/plan.go
@@ -317,8 +317,8 @@
 	return Step{}, false
 }
 
-// handOverVote gives the vote of a voter that is about to end to a newcomer, or retires it where the
-// voters that stay bear more without it.
+// handOverVote gives the vote of a voter that is about to end to a newcomer, or retires it where
+// those that are present bear more so.
 func (pl *planner) handOverVote(came []Peer) (Step, bool) {
 	for _, voter := range pl.view.Voters {
 		h, known := pl.health[voter.ID]
@@ -326,10 +326,12 @@
 			continue
 		}
 		q := pl.located(voter)
-		if c, can := pl.substitute(q, came); can {
+		rest := filter(pl.voters(), func(p Peer) bool { return p.ID != q.ID })
+		retired := pl.bearing(rest)
+		if c, can := pl.substitute(q, came); can && !retired.less(pl.bearing(append(slices.Clone(rest), c))) {
 			return pl.swap(q.ID, c, ", as it is about to end"), true
 		}
-		if pl.retires(q.ID) {
+		if len(rest) > 0 && retired.now.Less(pl.bearing(pl.voters()).now) {
 			next := pl.view.Retire(q.ID)
 			return Step{View: &next, Why: "retire " + q.ID + ", which is about to end", Removes: q.ID}, true
 		}
@@ -337,16 +339,20 @@
 	return Step{}, false
 }
 
-// retires tells whether the voters that are present bear strictly more without the vote of one that
-// leaves.
-func (pl *planner) retires(id string) bool {
+// bearing is what voters don't bear.
+type bearing struct {
+	now Shortfall // of those that can be relied on now
+	all Shortfall // once all are there
+}
+
+func (b bearing) less(o bearing) bool {
+	return b.now.Less(o.now) || b.now == o.now && b.all.Less(o.all)
+}
+
+func (pl *planner) bearing(voters []Peer) bearing {
 	tolerance := pl.policy.Tolerance
-	all := pl.voters()
-	present := filter(all, func(p Peer) bool { return p.ID != id && pl.ok(p.ID) })
-	if len(present) == 0 {
-		return false
-	}
-	return tolerance.shortfall(present, len(all)-1).Less(tolerance.shortfall(present, len(all)))
+	present := filter(voters, func(p Peer) bool { return pl.ok(p.ID) })
+	return bearing{now: tolerance.shortfall(present, len(voters)), all: tolerance.shortfall(voters, len(voters))}
 }
 
 // swapAbsent gives the vote of a voter that stays away to a newcomer.
@@ -401,14 +407,16 @@
 		return Step{}, false
 	}
 	tolerance := pl.policy.Tolerance
-	grow := tolerance.Zones == 0 && tolerance.Regions == 0
+	needed, standBy := false, false
 	for _, q := range pl.view.Voters {
 		h, known := pl.health[q.ID]
 		if !known || h.Silent >= pl.policy.Silent || h.Ending && pl.view.Place(q.ID) < 0 {
 			return Step{}, false
 		}
-		grow = grow || h.Ending
+		needed = needed || h.Ending
+		standBy = standBy || pl.ok(q.ID) && pl.view.Place(q.ID) < 0
 	}
+	grow := tolerance.Zones == 0 && tolerance.Regions == 0 || needed && !standBy
 	more := extend(pl.voters(), came, tolerance, grow)
 	if len(more) == 0 {
 		return Step{}, false
