Allocate nothing for an event that tells no version

Cause: an event without a version was parsed for one all the same, and the error allocated twice. Change: eventVersion returns before that. `go test -race -count=5 -run 'Version|FuzzEvents|Stream[A-Z]|BrokenStream' -skip EachByte ./internal/door`: ok, 4.0 s.

--- a/internal/door/stream.go
+++ b/internal/door/stream.go
@@ -225,7 +225,10 @@
 func eventVersion(event []byte) (string, bool) {
 	line, _, _ := bytes.Cut(event, []byte("\n"))
 	value, ok := bytes.CutPrefix(line, []byte("versions:"))
-	return version(string(value)), ok
+	if !ok {
+		return "", false
+	}
+	return version(string(value)), true
 }
 
 // join has a stream go by the version of the server that is to begin it or go on with it. It tells
