--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -4,7 +4,7 @@
 //
 // What has been sent and not been answered may have run: only a server's own word, or a connection
 // that never took the whole request, proves that it has not. All that follows from that is in
-// verdict.go.
+// attempt.go and send.go.
 package door
 
 import (
