Rename package door to gateway

Cause: the name was of the earlier house style; gateway is the field's term. Change: the package, its folder, its importers and the pages that name it; nothing else.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,8 +16,8 @@
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/core"
 	"chalkdoor.example/chalkdoor/internal/ctl"
-	"chalkdoor.example/chalkdoor/internal/door"
 	"chalkdoor.example/chalkdoor/internal/event"
+	"chalkdoor.example/chalkdoor/internal/gateway"
 	"chalkdoor.example/chalkdoor/internal/hub"
 	"chalkdoor.example/chalkdoor/internal/node"
 	"chalkdoor.example/chalkdoor/internal/rpc"
@@ -38,7 +38,7 @@
 	pool   *rpc.Pool
 	core   *core.Member
 	hub    *hub.Hub
-	door   *door.Door
+	door   *gateway.Door
 	ctl    *ctl.Server
 	ending atomic.Bool
 }
@@ -64,7 +64,7 @@
 	addr := peerAddr(s)
 	f := fnv.New64a()
 	f.Write([]byte(s.Name))
-	d.door = door.New(s, f.Sum64())
+	d.door = gateway.New(s, f.Sum64())
 	d.core, err = core.Open(core.Options{
 		Addr: addr, Zone: s.Zone, Region: s.Region, Dir: s.StateDir, HasDisk: s.Disk(), FirstStart: s.FirstStart,
 		Seeds: d.seeds, Known: d.known, Losses: s.Tolerance.Machines, ZoneLosses: s.Tolerance.Zones, RegionLosses: s.Tolerance.Regions, Counted: s.Counted, Pool: d.pool,
--- a/internal/door/door.go
+++ b/internal/gateway/door.go
@@ -1,11 +1,11 @@
-// Package door is the data plane of an agent: clients' requests come in, each is offered to one
+// Package gateway is the data plane of an agent: clients' requests come in, each is offered to one
 // server at a time as internal/pick decides, and gets exactly one final answer. Streams are passed
 // on event by event; one that may be resumed goes on at another server inside the same answer.
 //
 // What has been sent and not been answered may have run: only a server's own word, or a connection
 // that never took the whole request, proves that it has not. All that follows from that is in
 // attempt.go and send.go.
-package door
+package gateway
 
 import (
 	"context"
--- a/internal/door/timeout_test.go
+++ b/internal/gateway/timeout_test.go
@@ -1,4 +1,4 @@
-package door
+package gateway
 
 import (
 	"fmt"
