--- a/internal/core/client.go
+++ b/internal/controlplane/client.go
@@ -1,4 +1,4 @@
-package core
+package controlplane
 
 import (
 	"context"
--- a/internal/core/core.go
+++ b/internal/controlplane/core.go
@@ -1,4 +1,4 @@
-// Package core runs the control state of one process: it glues view, chain and store to calls of
+// Package controlplane runs the control state of one process: it glues view, chain and store to calls of
 // other agents, timers and a disk.
 //
 // Every agent has a Member. On a machine of the core it votes on views, keeps the configuration and
@@ -9,7 +9,7 @@
 // shows in memory and before anybody is told. Pings, reads of state and orders on their way wait for
 // no disk. Times are of the steady clock, and a process that slept through some ticks counts the
 // silence of others from its waking.
-package core
+package controlplane
 
 import (
 	"context"
--- a/internal/core/save.go
+++ b/internal/controlplane/save.go
@@ -1,4 +1,4 @@
-package core
+package controlplane
 
 // savePrefix keeps the names of others' records apart from the member's own.
 const savePrefix = "x/"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,7 +14,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/chain"
 	"chalkdoor.example/chalkdoor/internal/conf"
-	"chalkdoor.example/chalkdoor/internal/core"
+	"chalkdoor.example/chalkdoor/internal/controlplane"
 	"chalkdoor.example/chalkdoor/internal/ctl"
 	"chalkdoor.example/chalkdoor/internal/event"
 	"chalkdoor.example/chalkdoor/internal/gateway"
@@ -36,7 +36,7 @@
 	path   string
 	set    atomic.Pointer[node.Settings]
 	pool   *rpc.Pool
-	core   *core.Member
+	core   *controlplane.Member
 	hub    *hub.Hub
 	door   *gateway.Door
 	ctl    *ctl.Server
@@ -65,7 +65,7 @@
 	f := fnv.New64a()
 	f.Write([]byte(s.Name))
 	d.door = gateway.New(s, f.Sum64())
-	d.core, err = core.Open(core.Options{
+	d.core, err = controlplane.Open(controlplane.Options{
 		Addr: addr, Zone: s.Zone, Region: s.Region, Dir: s.StateDir, HasDisk: s.Disk(), FirstStart: s.FirstStart,
 		Seeds: d.seeds, Known: d.known, Losses: s.Tolerance.Machines, ZoneLosses: s.Tolerance.Zones, RegionLosses: s.Tolerance.Regions, Counted: s.Counted, Pool: d.pool,
 		Check:    func(cur []byte, o *chain.Order) ([]byte, int64, error) { return conf.Next(cur, o.Patch, o.Body) },
@@ -118,7 +118,7 @@
 }
 
 // coreView is what the feed asks of the core's member.
-type coreView struct{ m *core.Member }
+type coreView struct{ m *controlplane.Member }
 
 func (c coreView) IsCore() bool { return c.m.IsCore() }
 func (c coreView) Linked() bool { return c.m.Linked() }
--- a/internal/lab/controlsim/faults.go
+++ b/internal/lab/controlsim/faults.go
@@ -51,7 +51,7 @@
 	Loud  bool // connections are refused and reset, not silent
 	Wide  bool
 	Peer  Place // a cut is between the machine and this one only; "": from all
-	// On is a call of internal/core: the fault waits from At on for one that arrives at the machine of
+	// On is a call of internal/controlplane: the fault waits from At on for one that arrives at the machine of
 	// OnAt, and for Lag after it. It hits even where too many others are hit: it is short.
 	On   string
 	OnAt Place
--- a/internal/lab/controlsim/machine.go
+++ b/internal/lab/controlsim/machine.go
@@ -9,7 +9,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/chain"
 	"chalkdoor.example/chalkdoor/internal/conf"
-	"chalkdoor.example/chalkdoor/internal/core"
+	"chalkdoor.example/chalkdoor/internal/controlplane"
 	"chalkdoor.example/chalkdoor/internal/hub"
 	"chalkdoor.example/chalkdoor/internal/rpc"
 	"chalkdoor.example/chalkdoor/internal/view"
@@ -57,7 +57,7 @@
 type process struct {
 	machine *machine
 	life    int
-	core    *core.Member
+	core    *controlplane.Member
 	hub     *hub.Hub
 	pool    *rpc.Pool
 	begun   time.Time
@@ -113,7 +113,7 @@
 // open makes the parts of the process.
 func (p *process) open(over rpc.Dialer, first bool) (err error) {
 	m := p.machine
-	o := core.Options{Addr: m.host.addr, Zone: m.zone, FirstStart: first, Seeds: m.run.seedAddrs, Known: p.knownAddrs,
+	o := controlplane.Options{Addr: m.host.addr, Zone: m.zone, FirstStart: first, Seeds: m.run.seedAddrs, Known: p.knownAddrs,
 		Losses: m.run.setup.losses, Counted: m.media != nil, Pool: p.pool, Check: checkOrder,
 		OnCommit: func(v chain.Value) { p.hub.Commit(v.Seq, v.Body) },
 		OnView:   func(v view.View) { m.run.referee.learned(p, v) }}
@@ -123,7 +123,7 @@
 		p.disk = openDisk(m.media, m.host)
 		o.HasDisk, o.Dir, o.Disk = true, m.name, p.disk
 	}
-	if p.core, err = core.Open(o); err != nil {
+	if p.core, err = controlplane.Open(o); err != nil {
 		return err
 	}
 	if m.media != nil {
@@ -167,7 +167,7 @@
 }
 
 // coreView is what the hub asks of the core's member, as in the daemon.
-type coreView struct{ member *core.Member }
+type coreView struct{ member *controlplane.Member }
 
 func (c coreView) IsCore() bool { return c.member.IsCore() }
 func (c coreView) Linked() bool { return c.member.Linked() }
--- a/internal/lab/controlsim/referee.go
+++ b/internal/lab/controlsim/referee.go
@@ -9,7 +9,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"chalkdoor.example/chalkdoor/internal/chain"
-	"chalkdoor.example/chalkdoor/internal/core"
+	"chalkdoor.example/chalkdoor/internal/controlplane"
 	"chalkdoor.example/chalkdoor/internal/hub"
 	"chalkdoor.example/chalkdoor/internal/view"
 )
@@ -207,7 +207,7 @@
 	}
 	copies := 0
 	for _, m := range f.run.members() {
-		state, err := core.InspectRecords(m.media.read)
+		state, err := controlplane.InspectRecords(m.media.read)
 		if err != nil {
 			f.violate(m.name, "%v", err)
 		} else if state.Record.Value.Revision >= revision {
--- a/internal/lab/hollow/node.go
+++ b/internal/lab/hollow/node.go
@@ -12,7 +12,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/chain"
 	"chalkdoor.example/chalkdoor/internal/conf"
-	"chalkdoor.example/chalkdoor/internal/core"
+	"chalkdoor.example/chalkdoor/internal/controlplane"
 	"chalkdoor.example/chalkdoor/internal/hub"
 	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/rpc"
@@ -58,7 +58,7 @@
 type life struct {
 	node   *node
 	began  time.Duration
-	core   *core.Member
+	core   *controlplane.Member
 	hub    *hub.Hub
 	source string // by which it began
 	stop   context.CancelFunc
@@ -135,7 +135,7 @@
 	}
 }
 
-type coreView struct{ m *core.Member }
+type coreView struct{ m *controlplane.Member }
 
 func (c coreView) IsCore() bool { return c.m.IsCore() }
 func (c coreView) Linked() bool { return c.m.Linked() }
@@ -161,7 +161,7 @@
 	l := &life{node: n, began: now(), done: make(chan struct{}), gone: map[string]time.Duration{}, changed: make(chan struct{})}
 	pool := rpc.NewPool()
 	seeds := func() []string { return slices.Clone(p.Seeds) }
-	l.core, err = core.Open(core.Options{Addr: n.Addr, Zone: n.Zone, Dir: n.Dir, HasDisk: n.Dir != "", FirstStart: first, Seeds: seeds,
+	l.core, err = controlplane.Open(controlplane.Options{Addr: n.Addr, Zone: n.Zone, Dir: n.Dir, HasDisk: n.Dir != "", FirstStart: first, Seeds: seeds,
 		Known: func() []string {
 			var out []string
 			if l.hub != nil {
