--- a/internal/daemon/plane.go
+++ b/internal/daemon/plane.go
@@ -8,20 +8,20 @@
 	"chalkdoor.example/chalkdoor/internal/chain"
 	"chalkdoor.example/chalkdoor/internal/ctl"
 	"chalkdoor.example/chalkdoor/internal/fault"
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 // plane is what the calls of servers and operators act on.
 type plane struct{ d *Daemon }
 
 func (p *plane) Beat(ctx context.Context, b *ctl.Beat) (ctl.BeatReply, error) {
-	in := &inst.Instance{ID: b.ID, Service: b.Service, Addr: b.Addr, Zone: b.Zone, Revision: string(b.Revision), Slots: b.Slots,
+	in := &registry.Instance{ID: b.ID, Service: b.Service, Addr: b.Addr, Zone: b.Zone, Revision: string(b.Revision), Slots: b.Slots,
 		Seq: b.Seq, Cold: time.Duration(b.ColdMs * float64(time.Millisecond))}
 	if b.State == ctl.Draining {
-		in.State = inst.Draining
+		in.State = registry.Draining
 	}
 	for _, m := range b.Models {
-		in.Models = append(in.Models, inst.Model{Name: m.Name, Revision: m.Revision})
+		in.Models = append(in.Models, registry.Model{Name: m.Name, Revision: m.Revision})
 	}
 	if !p.d.hub.Beat(ctx, in) {
 		return ctl.BeatReply{}, fault.New(fault.Unavailable, "beat", "call another agent", "no hub has taken it")
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -17,8 +17,8 @@
 
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/hub"
-	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/node"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 // exchangeID is the id of the request that is played.
@@ -167,9 +167,9 @@
 	set.Limits.MemoryMB, set.Limits.FDs = 256, 1024
 	set.Bounds.RetryRatio, set.Bounds.RetryWindowS, set.Bounds.RetrySlack = 1000, 10, 1000
 	d := New(set, 1)
-	list := &inst.List{Version: 1, ByService: map[string][]*inst.Instance{}, ByID: map[string]*inst.Instance{}}
+	list := &registry.List{Version: 1, ByService: map[string][]*registry.Instance{}, ByID: map[string]*registry.Instance{}}
 	for i := range 2 {
-		in := &inst.Instance{ID: fmt.Sprintf("i-%d", i), Service: "s", Addr: "127.0.0.1:1", Zone: "z", Slots: 64, Seq: 1}
+		in := &registry.Instance{ID: fmt.Sprintf("i-%d", i), Service: "s", Addr: "127.0.0.1:1", Zone: "z", Slots: 64, Seq: 1}
 		list.ByID[in.ID] = in
 		list.ByService["s"] = append(list.ByService["s"], in)
 	}
--- a/internal/gateway/main_test.go
+++ b/internal/gateway/main_test.go
@@ -20,9 +20,9 @@
 
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/hub"
-	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/leak"
 	"chalkdoor.example/chalkdoor/internal/node"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 func TestMain(m *testing.M) { leak.Main(m) }
@@ -129,7 +129,7 @@
 
 // server is a model server that does what a script says, on real sockets.
 type server struct {
-	in      *inst.Instance
+	in      *registry.Instance
 	ln      net.Listener
 	conns   atomic.Int64
 	arrived atomic.Int64
@@ -238,7 +238,7 @@
 
 // add names a server that listens.
 func (w *world) add(s *server, service string) {
-	s.in = &inst.Instance{ID: fmt.Sprintf("i-%d", len(w.servers)), Service: service, Addr: s.ln.Addr().String(), Zone: "z", Slots: 64, Seq: 1}
+	s.in = &registry.Instance{ID: fmt.Sprintf("i-%d", len(w.servers)), Service: service, Addr: s.ln.Addr().String(), Zone: "z", Slots: 64, Seq: 1}
 	w.servers = append(w.servers, s)
 }
 
@@ -316,9 +316,9 @@
 }
 
 // list is the list with all servers but some.
-func (w *world) list(without ...*server) *inst.List {
+func (w *world) list(without ...*server) *registry.List {
 	w.seq++
-	l := &inst.List{Version: w.seq, ByService: map[string][]*inst.Instance{}, ByID: map[string]*inst.Instance{}}
+	l := &registry.List{Version: w.seq, ByService: map[string][]*registry.Instance{}, ByID: map[string]*registry.Instance{}}
 next:
 	for _, s := range w.servers {
 		for _, x := range without {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -14,7 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"chalkdoor.example/chalkdoor/internal/h1"
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 const (
@@ -60,7 +60,7 @@
 
 // get returns an idle connection that is still good, the most recently used first, or opens one;
 // fresh tells which.
-func (p *pool) get(ctx context.Context, in *inst.Instance, until time.Time) (cn *conn, fresh bool, err error) {
+func (p *pool) get(ctx context.Context, in *registry.Instance, until time.Time) (cn *conn, fresh bool, err error) {
 	for {
 		p.mu.Lock()
 		list := p.idle[in.ID]
@@ -163,7 +163,7 @@
 }
 
 // keepOnly closes the idle connections to servers that are not listed any more.
-func (p *pool) keepOnly(listed map[string]*inst.Instance) {
+func (p *pool) keepOnly(listed map[string]*registry.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, list := range p.idle {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/h1"
-	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/pick"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 const (
@@ -213,7 +213,7 @@
 }
 
 // check asks a server for its health in the background.
-func (d *Door) check(ctx context.Context, in *inst.Instance) {
+func (d *Door) check(ctx context.Context, in *registry.Instance) {
 	ok, l := d.checkOne(ctx, in)
 	now := d.now()
 	d.mu.Lock()
@@ -222,7 +222,7 @@
 	d.look()
 }
 
-func (d *Door) checkOne(ctx context.Context, in *inst.Instance) (bool, *pick.Load) {
+func (d *Door) checkOne(ctx context.Context, in *registry.Instance) (bool, *pick.Load) {
 	path, host := "/health", in.Addr
 	if doc := d.snap.Load().Doc; doc != nil && doc.Services[in.Service] != nil && doc.Services[in.Service].HealthPath != "" {
 		path = doc.Services[in.Service].HealthPath
--- a/internal/hub/bench_test.go
+++ b/internal/hub/bench_test.go
@@ -8,14 +8,14 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"chalkdoor.example/chalkdoor/internal/feed"
-	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/lab/heap"
 	"chalkdoor.example/chalkdoor/internal/lab/sample"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
-func benchInstance(i int) *inst.Instance {
-	return &inst.Instance{ID: fmt.Sprintf("i-%08x", i), Service: sample.Service(i % 6), Addr: fmt.Sprintf("10.128.%d.%d:8080", i/250, i%250),
-		Zone: "zone-a", Revision: "v1", Slots: 64, Seq: 1, Models: []inst.Model{{Name: "model-a", Revision: 1}}}
+func benchInstance(i int) *registry.Instance {
+	return &registry.Instance{ID: fmt.Sprintf("i-%08x", i), Service: sample.Service(i % 6), Addr: fmt.Sprintf("10.128.%d.%d:8080", i/250, i%250),
+		Zone: "zone-a", Revision: "v1", Slots: 64, Seq: 1, Models: []registry.Model{{Name: "model-a", Revision: 1}}}
 }
 
 func benchMember(i int) *Member {
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -18,9 +18,9 @@
 	"chalkdoor.example/chalkdoor/internal/ev"
 	"chalkdoor.example/chalkdoor/internal/event"
 	"chalkdoor.example/chalkdoor/internal/feed"
-	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/lease"
 	"chalkdoor.example/chalkdoor/internal/pick"
+	"chalkdoor.example/chalkdoor/internal/registry"
 	"chalkdoor.example/chalkdoor/internal/rpc"
 )
 
@@ -67,7 +67,7 @@
 type Snapshot struct {
 	Seq    uint64    // of the configuration
 	Doc    *conf.Doc // nil before the first
-	List   *inst.List
+	List   *registry.List
 	Agents int  // members, at least this one
 	Fresh  bool // this process has had all that a hub knows
 }
@@ -97,7 +97,7 @@
 
 	mu        sync.Mutex
 	set       *feed.Set
-	table     *inst.Table
+	table     *registry.Table
 	leases    *lease.Table
 	members   map[string]Member // by source
 	journal   *ev.Journal[feed.Change]
@@ -131,7 +131,7 @@
 		changed: make(chan struct{}), ended: map[string]time.Duration{}, granted: map[string]bool{}, leases: lease.New(leaseLasts),
 		limit: rate.NewLimiter(0, 100*noticeBytes), journal: ev.New[feed.Change](keepEvents), fullReports: rate.Sometimes{Interval: fullReportEvery}}
 	h.set = feed.NewSet(h.newSource())
-	h.table = inst.NewTable(h.set.Self(), o.Beat)
+	h.table = registry.NewTable(h.set.Self(), o.Beat)
 	h.journal.View(h.fold)
 	h.journal.Slim(func(c feed.Change) feed.Change {
 		if len(c.Item.Data) > keepData {
@@ -193,7 +193,7 @@
 			h.table.Untell(now, c.Source, id)
 			return
 		}
-		in := new(inst.Instance)
+		in := new(registry.Instance)
 		if err := msgpack.Unmarshal(data, in); err == nil && in.ID == id && in.Sound() {
 			if !h.table.Tell(now, c.Source, in) {
 				h.reportFull(id)
--- a/internal/hub/lab_test.go
+++ b/internal/hub/lab_test.go
@@ -14,8 +14,8 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/time/rate"
 
-	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/leak"
+	"chalkdoor.example/chalkdoor/internal/registry"
 	"chalkdoor.example/chalkdoor/internal/rpc"
 )
 
@@ -336,13 +336,13 @@
 	}
 }
 
-func server(id string, seq uint64) *inst.Instance {
-	return &inst.Instance{ID: id, Service: "llm", Addr: "10.0.0.1:80", Zone: "near", Slots: 8, Seq: seq}
+func server(id string, seq uint64) *registry.Instance {
+	return &registry.Instance{ID: id, Service: "llm", Addr: "10.0.0.1:80", Zone: "near", Slots: 8, Seq: seq}
 }
 
-func drains(id string, seq uint64) *inst.Instance {
+func drains(id string, seq uint64) *registry.Instance {
 	in := server(id, seq)
-	in.State = inst.Draining
+	in.State = registry.Draining
 	return in
 }
 
@@ -353,7 +353,7 @@
 	return ctx
 }
 
-func (a *agent) call(in *inst.Instance) bool { return a.hub.Beat(within(a.t, patience), in) }
+func (a *agent) call(in *registry.Instance) bool { return a.hub.Beat(within(a.t, patience), in) }
 
 // beats has a server call the agent until stop is called.
 func (a *agent) beats(id string) (stop func()) {
--- a/internal/hub/life_test.go
+++ b/internal/hub/life_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"chalkdoor.example/chalkdoor/internal/feed"
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 // still is a hub that does not run: a test has it tick, and its clock go.
@@ -546,7 +546,7 @@
 			case 0:
 				return rapid.SliceOfN(rapid.Byte(), 0, 30).Draw(t, "bytes")
 			case 1:
-				return encode(&inst.Instance{ID: "s", Service: "x", Seq: rapid.Uint64().Draw(t, "seq"), State: inst.State(rapid.Byte().Draw(t, "state")),
+				return encode(&registry.Instance{ID: "s", Service: "x", Seq: rapid.Uint64().Draw(t, "seq"), State: registry.State(rapid.Byte().Draw(t, "state")),
 					Slots: rapid.Int().Draw(t, "slots"), Cold: time.Duration(rapid.Int64().Draw(t, "cold"))})
 			case 2:
 				return encode(&Config{Seq: rapid.Uint64Range(0, 1<<20).Draw(t, "seq"), Raw: document(rapid.IntRange(1, 9).Draw(t, "revision"))})
@@ -609,12 +609,12 @@
 	}{
 		"nothing":        {nil, 0},
 		"noise":          {[]byte("\xff\x00\x12noise"), 0},
-		"another format": {encode(&saved{Format: savedFormat + 1, Servers: []*inst.Instance{sound}}), 0},
-		"holes":          {encode(&saved{Format: savedFormat, Servers: []*inst.Instance{nil, sound, nil, {}}}), 1},
-		"twice":          {encode(&saved{Format: savedFormat, Servers: []*inst.Instance{sound, sound}}), 1},
-		"out of bounds":  {encode(&saved{Format: savedFormat, Servers: []*inst.Instance{sound, wrong}}), 1},
-		"not ready":      {encode(&saved{Format: savedFormat, Servers: []*inst.Instance{drains("d", 1)}}), 0},
-		"cut":            {encode(&saved{Format: savedFormat, Servers: []*inst.Instance{sound}})[:20], 0},
+		"another format": {encode(&saved{Format: savedFormat + 1, Servers: []*registry.Instance{sound}}), 0},
+		"holes":          {encode(&saved{Format: savedFormat, Servers: []*registry.Instance{nil, sound, nil, {}}}), 1},
+		"twice":          {encode(&saved{Format: savedFormat, Servers: []*registry.Instance{sound, sound}}), 1},
+		"out of bounds":  {encode(&saved{Format: savedFormat, Servers: []*registry.Instance{sound, wrong}}), 1},
+		"not ready":      {encode(&saved{Format: savedFormat, Servers: []*registry.Instance{drains("d", 1)}}), 0},
+		"cut":            {encode(&saved{Format: savedFormat, Servers: []*registry.Instance{sound}})[:20], 0},
 	} {
 		h := New(Options{Self: Member{Name: "a"}, Beat: time.Second, Core: newCore(false, false), OnChange: func(*Snapshot) {}, Saved: c.saved})
 		assert.Len(t, h.table.List().ByID, c.want, name)
--- a/internal/hub/report.go
+++ b/internal/hub/report.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 // Report is what this process knows, for operators.
@@ -15,7 +15,7 @@
 	Seq      uint64          `json:"config-seq"`
 	Revision int64           `json:"revision"`
 	Members  []MemberReport  `json:"members"`
-	Servers  []inst.View     `json:"servers"`
+	Servers  []registry.View `json:"servers"`
 	Sessions []SessionReport `json:"sessions"`
 }
 
--- a/internal/hub/servers.go
+++ b/internal/hub/servers.go
@@ -9,13 +9,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"chalkdoor.example/chalkdoor/internal/event"
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 // saved is the list of servers on disk.
 type saved struct {
-	Format  int              `msgpack:"f"`
-	Servers []*inst.Instance `msgpack:"s"`
+	Format  int                  `msgpack:"f"`
+	Servers []*registry.Instance `msgpack:"s"`
 }
 
 const savedFormat = 1
@@ -29,7 +29,7 @@
 		return
 	}
 	for _, in := range s.Servers {
-		if in == nil || !in.Sound() || in.State != inst.Ready {
+		if in == nil || !in.Sound() || in.State != registry.Ready {
 			continue
 		}
 		if h.table.Restore(h.now(), in) {
@@ -60,7 +60,7 @@
 		for _, in := range l.ByID {
 			s.Servers = append(s.Servers, in)
 		}
-		slices.SortFunc(s.Servers, func(a, b *inst.Instance) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(s.Servers, func(a, b *registry.Instance) int { return cmp.Compare(a.ID, b.ID) })
 		if err := h.o.Save(encode(&s)); err == nil { // a disk in trouble: the next time
 			done = l.Version
 		}
@@ -70,7 +70,7 @@
 // Beat takes a server's call; in is not to be changed after. A server that says it drains is
 // answered once a majority of the core holds that; false: it is not known to, and the server had
 // better call another agent. So it had if what it says is out of bounds.
-func (h *Hub) Beat(ctx context.Context, in *inst.Instance) bool {
+func (h *Hub) Beat(ctx context.Context, in *registry.Instance) bool {
 	if !in.Sound() {
 		return false
 	}
@@ -81,12 +81,12 @@
 	if err != nil {
 		return false
 	}
-	return in.State == inst.Ready || h.awaitReplicated(ctx, life, ver)
+	return in.State == registry.Ready || h.awaitReplicated(ctx, life, ver)
 }
 
 // Leave takes a server's word that it ends, as Beat does.
 func (h *Hub) Leave(ctx context.Context, id string) bool {
-	if in := (&inst.Instance{ID: id}); !in.Sound() {
+	if in := (&registry.Instance{ID: id}); !in.Sound() {
 		return false
 	}
 	h.mu.Lock()
@@ -98,7 +98,7 @@
 
 // announceServer tells all what a server's call changed, if anything, and returns the life and the
 // version of the own source that has it. The lock is held.
-func (h *Hub) announceServer(id string, told *inst.Instance, err error) (life string, version uint64) {
+func (h *Hub) announceServer(id string, told *registry.Instance, err error) (life string, version uint64) {
 	if err != nil {
 		h.reportFull(id)
 	}
--- a/internal/lab/controlsim/servers.go
+++ b/internal/lab/controlsim/servers.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 const (
@@ -31,10 +31,10 @@
 	for life := 1; ctx.Err() == nil; life++ {
 		id := fmt.Sprintf("server-%d-%d", s.index, life)
 		for range 1 + s.random.IntN(s.run.setup.beatsAtMost) {
-			s.beat(ctx, id, inst.Ready)
+			s.beat(ctx, id, registry.Ready)
 			pause(ctx, beatEvery/2+time.Duration(s.random.Int64N(int64(beatEvery))))
 		}
-		if s.repeat(ctx, func() bool { return s.beat(ctx, id, inst.Draining) }) {
+		if s.repeat(ctx, func() bool { return s.beat(ctx, id, registry.Draining) }) {
 			s.run.referee.drained(id)
 			pause(ctx, beatEvery)
 			s.repeat(ctx, func() bool { return s.leave(ctx, id) })
@@ -52,9 +52,9 @@
 	return false
 }
 
-func (s *server) beat(ctx context.Context, id string, state inst.State) bool {
+func (s *server) beat(ctx context.Context, id string, state registry.State) bool {
 	s.seq++
-	in := &inst.Instance{ID: id, Service: "service", Addr: fmt.Sprintf("10.1.0.%d:80", s.index+1), Zone: "z0", Slots: 4, State: state, Seq: s.seq}
+	in := &registry.Instance{ID: id, Service: "service", Addr: fmt.Sprintf("10.1.0.%d:80", s.index+1), Zone: "z0", Slots: 4, State: state, Seq: s.seq}
 	return s.call(ctx, func(ctx context.Context, p *process) bool { return p.hub.Beat(ctx, in) })
 }
 
--- a/internal/lab/defects/table.go
+++ b/internal/lab/defects/table.go
@@ -8,7 +8,7 @@
 	storePackage = "./internal/store"
 	leasePackage = "./internal/lease"
 	feedPackage  = "./internal/feed"
-	instPackage  = "./internal/inst"
+	instPackage  = "./internal/registry"
 	hubPackage   = "./internal/hub"
 	ctlPackage   = "./internal/ctl"
 )
@@ -231,13 +231,13 @@
 	{ID: "feed-older-item-taken", Point: CatchingUp, File: "internal/feed/feed.go",
 		Old: "			if it.Ver > had {", New: "			if it.Ver > 0*had {",
 		Packages: in(feedPackage), Run: "^TestOverlapOfADeltaIsNotNew$"},
-	{ID: "inst-late-beat-counts", Point: CutOff, File: "internal/inst/table.go",
+	{ID: "inst-late-beat-counts", Point: CutOff, File: "internal/registry/table.go",
 		Old: "		if in.State == Ready && late(in, k.best) {", New: "		if false {",
 		Packages: in(instPackage), Run: "^TestALateCallIsNoBeat$"},
-	{ID: "inst-end-is-undone", Point: CutOff, File: "internal/inst/table.go",
+	{ID: "inst-end-is-undone", Point: CutOff, File: "internal/registry/table.go",
 		Old: "		return // final, whoever told it\n", New: "",
 		Packages: in(instPackage), Run: "^TestAnEndOutlivesItsTeller$"},
-	{ID: "inst-tombstone-for-ever", Point: CatchingUp, File: "internal/inst/table.go",
+	{ID: "inst-tombstone-for-ever", Point: CatchingUp, File: "internal/registry/table.go",
 		Old: "old := k.dead > 0 && now-k.dead > deadFor;", New: "old := false;",
 		Packages: in(instPackage), Run: "^TestTablesOfSeveralAgents$"},
 	{ID: "hub-cut-off-ends-agents", Point: CutOff, File: "internal/hub/members.go",
--- a/internal/lab/hollow/host.go
+++ b/internal/lab/hollow/host.go
@@ -16,8 +16,8 @@
 	"github.com/go-faster/errors"
 
 	"chalkdoor.example/chalkdoor/internal/chain"
-	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/lab/heap"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 const (
@@ -425,15 +425,15 @@
 
 func (s *server) id() string { return fmt.Sprintf("i-%05d-%02d", s.number, s.life) }
 
-func (s *server) instance(state inst.State) *inst.Instance {
+func (s *server) instance(state registry.State) *registry.Instance {
 	s.seq++
-	return &inst.Instance{ID: s.id(), Service: fmt.Sprintf("service-%d", s.number%max(s.host.plan.Services, 1)),
+	return &registry.Instance{ID: s.id(), Service: fmt.Sprintf("service-%d", s.number%max(s.host.plan.Services, 1)),
 		Addr: fmt.Sprintf("10.128.%d.%d:8080", s.number/250, s.number%250), Zone: fmt.Sprintf("zone-%d", s.number%5), Revision: "v1", Slots: 64,
-		State: state, Seq: s.seq, Models: []inst.Model{{Name: fmt.Sprintf("model-%d", s.number%6), Revision: 1}}}
+		State: state, Seq: s.seq, Models: []registry.Model{{Name: fmt.Sprintf("model-%d", s.number%6), Revision: 1}}}
 }
 
 // call beats to the home, or to the next nodes until one answers.
-func (s *server) call(ctx context.Context, state inst.State) bool {
+func (s *server) call(ctx context.Context, state registry.State) bool {
 	in := s.instance(state)
 	for range s.host.nodes {
 		once, cancel := context.WithTimeout(ctx, beatWait)
@@ -459,12 +459,12 @@
 		case <-ctx.Done():
 			return
 		case <-beat.C:
-			s.call(ctx, inst.Ready)
+			s.call(ctx, registry.Ready)
 			period := float64(s.host.plan.Beat)
 			beat.Reset(time.Duration(period * (1 + jitter*(rand.Float64()-0.5))))
 		case answer := <-s.drain:
 			d := drained{id: s.id()}
-			if s.call(ctx, inst.Draining) {
+			if s.call(ctx, registry.Draining) {
 				d.at = now()
 			}
 			answer <- d
--- a/internal/lab/hollow/node.go
+++ b/internal/lab/hollow/node.go
@@ -14,7 +14,7 @@
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/controlplane"
 	"chalkdoor.example/chalkdoor/internal/hub"
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 	"chalkdoor.example/chalkdoor/internal/rpc"
 )
 
@@ -262,7 +262,7 @@
 }
 
 // beat takes a server's call; false: the server calls the next agent.
-func (n *node) beat(ctx context.Context, in *inst.Instance) bool {
+func (n *node) beat(ctx context.Context, in *registry.Instance) bool {
 	l := n.alive()
 	return l != nil && l.hub.Beat(ctx, in)
 }
--- a/internal/pick/bench_test.go
+++ b/internal/pick/bench_test.go
@@ -7,14 +7,14 @@
 
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/engine"
-	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/lab/heap"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
-func benchList(servers int) *inst.List {
-	l := &inst.List{ByService: map[string][]*inst.Instance{}, ByID: map[string]*inst.Instance{}}
+func benchList(servers int) *registry.List {
+	l := &registry.List{ByService: map[string][]*registry.Instance{}, ByID: map[string]*registry.Instance{}}
 	for i := range servers {
-		in := &inst.Instance{ID: fmt.Sprintf("i-%08x", i), Service: "llm", Zone: fmt.Sprintf("zone-%d", i%5), Slots: 64, Seq: 1}
+		in := &registry.Instance{ID: fmt.Sprintf("i-%08x", i), Service: "llm", Zone: fmt.Sprintf("zone-%d", i%5), Slots: 64, Seq: 1}
 		l.ByService["llm"], l.ByID[in.ID] = append(l.ByService["llm"], in), in
 	}
 	return l
@@ -50,7 +50,7 @@
 	for _, servers := range []int{18, 112, 850} {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
 			p := benchPicker(servers)
-			lists := []*inst.List{benchList(servers), benchList(servers + 1)}
+			lists := []*registry.List{benchList(servers), benchList(servers + 1)}
 			delete(lists[1].ByID, "i-00000000")
 			lists[1].ByService["llm"] = lists[1].ByService["llm"][1:]
 			b.ReportAllocs()
--- a/internal/pick/health.go
+++ b/internal/pick/health.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 	"chalkdoor.example/chalkdoor/policy"
 )
 
@@ -70,7 +70,7 @@
 		rank = s.Rank(millis(now), after)
 	}
 	if models := s.inst.Models; len(models) > 0 && q.Model != "" &&
-		!slices.ContainsFunc(models, func(m inst.Model) bool { return m.Name == q.Model }) {
+		!slices.ContainsFunc(models, func(m registry.Model) bool { return m.Name == q.Model }) {
 		rank += tiers
 	}
 	return rank
@@ -104,7 +104,7 @@
 
 // Checks are the background validations that are due: a GET of the service's health-path to
 // each, ended by Checked. No request waits for them.
-func (p *Picker) Checks(now time.Duration) (due []*inst.Instance) {
+func (p *Picker) Checks(now time.Duration) (due []*registry.Instance) {
 	p.checks.fill(now)
 	for _, v := range p.services {
 		for _, s := range v.servers {
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -17,7 +17,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/engine"
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 	"chalkdoor.example/chalkdoor/policy"
 )
 
@@ -53,7 +53,7 @@
 // Decision is what Place decided.
 type Decision struct {
 	Kind     Kind
-	Server   *inst.Instance
+	Server   *registry.Instance
 	Attempt  *Attempt
 	Priority int           // for the server, 0 the most urgent to 9
 	After    time.Duration // honest advice to the client
@@ -112,7 +112,7 @@
 type server struct {
 	policy.Tier
 	service   *service
-	inst      *inst.Instance
+	inst      *registry.Instance
 	hash      uint64
 	engine    *engine.Server
 	since     time.Duration // listed
@@ -151,7 +151,7 @@
 
 // SetList takes the list of servers as it stands. New instances are Unknown, those that are
 // not in it leave every tier at once.
-func (p *Picker) SetList(now time.Duration, list *inst.List) {
+func (p *Picker) SetList(now time.Duration, list *registry.List) {
 	if list == nil {
 		return
 	}
@@ -204,7 +204,7 @@
 	}
 }
 
-func (p *Picker) list(now time.Duration, v *service, in *inst.Instance, all int) {
+func (p *Picker) list(now time.Duration, v *service, in *registry.Instance, all int) {
 	s := &server{Tier: policy.NewTier(millis(now)), service: v, inst: in, hash: hashID(in.ID), listed: true,
 		engine: engine.NewServer(v.shape(in, p.partsFor(all)), v.speeds), heard: -1, since: now, coldTo: now + in.Cold}
 	p.byID[in.ID], v.changed = s, true
@@ -261,7 +261,7 @@
 	}
 }
 
-func (v *service) shape(in *inst.Instance, parts int) engine.Shape {
+func (v *service) shape(in *registry.Instance, parts int) engine.Shape {
 	s := engine.Shape{Slots: v.engine.Slots, CacheTokens: v.engine.CacheTokens, Stride: v.engine.Stride, MaxParts: parts}
 	if in.Slots > 0 {
 		s.Slots = in.Slots
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -11,7 +11,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/engine"
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 	"chalkdoor.example/chalkdoor/policy"
 )
 
@@ -22,16 +22,16 @@
 	draft  = &conf.Route{Name: "draft", Kind: conf.Streaming, Priority: 1, MaxAttempts: 1}
 )
 
-func instances(n int) []*inst.Instance {
-	var all []*inst.Instance
+func instances(n int) []*registry.Instance {
+	var all []*registry.Instance
 	for i := range n {
-		all = append(all, &inst.Instance{ID: fmt.Sprintf("i-%04d", i), Service: "llm", Zone: fmt.Sprintf("z%d", i%3), Slots: 8, Seq: 1})
+		all = append(all, &registry.Instance{ID: fmt.Sprintf("i-%04d", i), Service: "llm", Zone: fmt.Sprintf("z%d", i%3), Slots: 8, Seq: 1})
 	}
 	return all
 }
 
-func listOf(all ...*inst.Instance) *inst.List {
-	l := &inst.List{ByService: map[string][]*inst.Instance{}, ByID: map[string]*inst.Instance{}}
+func listOf(all ...*registry.Instance) *registry.List {
+	l := &registry.List{ByService: map[string][]*registry.Instance{}, ByID: map[string]*registry.Instance{}}
 	for _, in := range all {
 		l.ByService[in.Service] = append(l.ByService[in.Service], in)
 		l.ByID[in.ID] = in
@@ -281,7 +281,7 @@
 	assert.Len(t, p.services["llm"].ring, 1)
 	in.Seq++
 	list.ByID[in.ID] = &in
-	list.ByService["llm"] = []*inst.Instance{&in}
+	list.ByService["llm"] = []*registry.Instance{&in}
 	p.SetList(3*ms, list)
 	assert.Contains(t, p.byID, in.ID)
 	assert.Empty(t, p.wrong)
@@ -292,7 +292,7 @@
 func TestListChanges(t *testing.T) {
 	p := picker(1, 3)
 	a := send(t, p, 0, ask(1, 2))
-	var rest []*inst.Instance
+	var rest []*registry.Instance
 	for _, in := range instances(3) {
 		if in.ID != a.s.inst.ID {
 			rest = append(rest, in)
@@ -338,7 +338,7 @@
 func TestModelsAreHeldByTheirServers(t *testing.T) {
 	all := instances(4)
 	for i, in := range all {
-		in.Models = []inst.Model{{Name: []string{"m", "n"}[i%2], Revision: 1}}
+		in.Models = []registry.Model{{Name: []string{"m", "n"}[i%2], Revision: 1}}
 	}
 	p := picker(1, 0)
 	p.SetList(0, listOf(all...))
@@ -352,8 +352,8 @@
 	s.engine.Begin(0, engine.Chain(nil, "m", r.Parts), 2500, 1)
 	require.NotZero(t, s.engine.Cached(engine.Chain(nil, "m", r.Parts)))
 	next := *all[0]
-	next.Models = []inst.Model{{Name: "m", Revision: 2}}
-	p.SetList(ms, listOf(append([]*inst.Instance{&next}, all[1:]...)...))
+	next.Models = []registry.Model{{Name: "m", Revision: 2}}
+	p.SetList(ms, listOf(append([]*registry.Instance{&next}, all[1:]...)...))
 	assert.Zero(t, s.engine.Cached(engine.Chain(nil, "m", r.Parts)), "other weights keep nothing of the old")
 }
 
@@ -361,7 +361,7 @@
 	for _, n := range []int{12, 100} {
 		used := map[string]bool{}
 		for key := range uint64(50) {
-			var want *inst.Instance
+			var want *registry.Instance
 			for agent := range uint64(8) {
 				p := picker(agent, n)
 				p.opt.Zone = ""
@@ -591,7 +591,7 @@
 		now, seq := time.Duration(0), uint64(1)
 		listed := map[string]uint64{} // by id, the call-seq
 		var out []*Attempt
-		var checks []*inst.Instance
+		var checks []*registry.Instance
 		pass := func(t *rapid.T) { now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * ms }
 		attempt := func(t *rapid.T) *Attempt {
 			if len(out) == 0 {
@@ -602,7 +602,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"list": func(t *rapid.T) {
 				pass(t)
-				var all []*inst.Instance
+				var all []*registry.Instance
 				clear(listed)
 				n := rapid.SampledFrom([]int{0, 1, 3, 10, 90}).Draw(t, "n")
 				seq += uint64(rapid.IntRange(0, 1).Draw(t, "news"))
--- a/internal/pick/sim_test.go
+++ b/internal/pick/sim_test.go
@@ -10,7 +10,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/engine"
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 // This file simulates a fleet of agents before model servers, in simulated time: the servers
@@ -302,7 +302,7 @@
 
 func simulate(site simSite) *simResult {
 	m := &sim{site: &site, rng: rand.New(rand.NewPCG(site.seed, 77)), read: map[uint64]bool{}}
-	list := &inst.List{Version: 1, ByService: map[string][]*inst.Instance{}, ByID: map[string]*inst.Instance{}}
+	list := &registry.List{Version: 1, ByService: map[string][]*registry.Instance{}, ByID: map[string]*registry.Instance{}}
 	m.result.work = make([]float64, site.servers)
 	for i := range site.servers {
 		slow := 1.0
@@ -312,7 +312,7 @@
 		zone := fmt.Sprintf("z%d", i%site.zones)
 		m.servers = append(m.servers, &simServer{m: m, i: i, zone: zone, kept: map[uint64]time.Duration{},
 			tokens: map[uint64]int{}, slow: slow})
-		in := &inst.Instance{ID: fmt.Sprintf("i-%04d-%d", i, site.seed), Service: "llm", Zone: zone, Slots: site.slots, Seq: 1}
+		in := &registry.Instance{ID: fmt.Sprintf("i-%04d-%d", i, site.seed), Service: "llm", Zone: zone, Slots: site.slots, Seq: 1}
 		list.ByService["llm"] = append(list.ByService["llm"], in)
 		list.ByID[in.ID] = in
 	}
@@ -354,7 +354,7 @@
 	return &m.result
 }
 
-func (m *sim) traffic(k int, list *inst.List, index map[string]int) {
+func (m *sim) traffic(k int, list *registry.List, index map[string]int) {
 	site := m.site
 	kind := &site.kinds[k]
 	route := &conf.Route{Name: kind.name, Priority: kind.priority, MaxAttempts: kind.cutoff}
--- a/internal/inst/late_test.go
+++ b/internal/registry/late_test.go
@@ -1,4 +1,4 @@
-package inst
+package registry
 
 import (
 	"fmt"
--- a/internal/inst/types.go
+++ b/internal/registry/types.go
@@ -1,7 +1,7 @@
-// Package inst owns the servers of the model services: what they said of themselves, by which
+// Package registry owns the servers of the model services: what they said of themselves, by which
 // agent, and what follows for the list that all agents route by. It is pure: calls and times go
 // in, a list comes out.
-package inst
+package registry
 
 import "time"
 
--- a/internal/rollout/bench_test.go
+++ b/internal/rollout/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 // What the holder spends a second at the full size: 850 servers of which 24 move, 360 agents.
@@ -20,7 +20,7 @@
 	f := &Facts{Watch: NewWatch(rec)}
 	sends := Sends{Buckets: map[string]map[string][]uint32{"r": {}}}
 	for i := range 850 {
-		s := Server{ID: fmt.Sprintf("s%04d", i), Addr: fmt.Sprint(i), Zone: "z", Region: "r", State: inst.Ready, Revision: 1, Capacity: 10, Busy: 0.5, InFlight: -1, Well: true}
+		s := Server{ID: fmt.Sprintf("s%04d", i), Addr: fmt.Sprint(i), Zone: "z", Region: "r", State: registry.Ready, Revision: 1, Capacity: 10, Busy: 0.5, InFlight: -1, Well: true}
 		if i < 12 {
 			rec.Out = append(rec.Out, Leaving{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Step: Thinner})
 		} else if i < 24 {
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chalkdoor.example/chalkdoor/internal/engine"
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 // makeup is what a fleet is made of. Rates are sampled ones: one of scale requests is played, of one of
@@ -189,7 +189,7 @@
 func (f *fleet) facts() *Facts {
 	facts := &Facts{Watch: f.watch}
 	for _, s := range f.servers {
-		if s.State != inst.Gone && s.upAt <= f.now {
+		if s.State != registry.Gone && s.upAt <= f.now {
 			x := s.Server
 			x.InFlight = s.running
 			facts.Servers = append(facts.Servers, x)
@@ -262,27 +262,27 @@
 // platform replaces what is handed over, and takes down what drains.
 func (f *fleet) platform() {
 	for _, l := range f.rec.Out {
-		if s := f.byID[l.ID]; s != nil && l.Step == Replacing && s.State == inst.Ready {
+		if s := f.byID[l.ID]; s != nil && l.Step == Replacing && s.State == registry.Ready {
 			for _, a := range f.agents {
 				require.Zero(f.t, a.held[s.ID], "%s is replaced while %s holds requests there", s.ID, a.id)
 			}
-			s.State = inst.Draining
+			s.State = registry.Draining
 			s.goneAt = f.now + 2*time.Second
 		}
 	}
 	for _, s := range f.servers {
-		if s.State == inst.Draining && s.goneAt <= f.now {
-			s.State = inst.Gone
+		if s.State == registry.Draining && s.goneAt <= f.now {
+			s.State = registry.Gone
 			var i int
 			_, err := fmt.Sscanf(s.ID, "s%d-", &i)
 			require.NoError(f.t, err)
 			n := f.serve(i, f.rec.target())
 			n.upAt = f.now + f.m.load
-			n.State = inst.Ready
+			n.State = registry.Ready
 		}
 	}
 	f.servers = slices.DeleteFunc(f.servers, func(s *simServer) bool {
-		if s.State == inst.Gone && f.now-s.goneAt > 90*time.Second {
+		if s.State == registry.Gone && f.now-s.goneAt > 90*time.Second {
 			delete(f.byID, s.ID)
 			return true
 		}
@@ -292,7 +292,7 @@
 
 // crash takes a server away that says nothing; the platform brings the revision back that it had.
 func (f *fleet) crash(s *simServer, back time.Duration) {
-	s.State, s.goneAt = inst.Gone, f.now
+	s.State, s.goneAt = registry.Gone, f.now
 	for _, rs := range f.ends {
 		for _, r := range rs {
 			if r.s == s {
@@ -321,12 +321,12 @@
 	}
 }
 
-func (s *simServer) up(now time.Duration) bool { return s.State == inst.Ready && s.upAt <= now }
+func (s *simServer) up(now time.Duration) bool { return s.State == registry.Ready && s.upAt <= now }
 
 // traffic plays a second's requests.
 func (f *fleet) traffic() {
 	for _, r := range f.ends[f.now] {
-		if r.s.State == inst.Gone {
+		if r.s.State == registry.Gone {
 			continue
 		}
 		if r.a.held[r.s.ID]--; r.a.held[r.s.ID] <= 0 {
@@ -522,7 +522,7 @@
 func (f *fleet) stock() {
 	whole, serving, rules := 0.0, 0.0, f.compiled()
 	for _, s := range f.servers {
-		if s.State == inst.Gone {
+		if s.State == registry.Gone {
 			continue
 		}
 		whole += s.Capacity
@@ -595,7 +595,7 @@
 // revisions counts the servers of each revision.
 func (f *fleet) revisions() (old, fresh int) {
 	for _, s := range f.servers {
-		if s.State != inst.Gone {
+		if s.State != registry.Gone {
 			if s.Revision == 2 {
 				fresh++
 			} else {
--- a/internal/rollout/interleave_test.go
+++ b/internal/rollout/interleave_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"chalkdoor.example/chalkdoor/internal/inst"
 	"chalkdoor.example/chalkdoor/internal/interleave"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 // defect is what is done wrong on purpose, to see that the checker finds it.
@@ -136,7 +136,7 @@
 	}
 	if next != nil && s.bad == notRevived {
 		for i, l := range next.Out {
-			if v := s.server(l.ID); v != nil && v.State == inst.Lost && l.Step < Replacing {
+			if v := s.server(l.ID); v != nil && v.State == registry.Lost && l.Step < Replacing {
 				next.Out[i].Step = Replacing
 			}
 		}
@@ -170,7 +170,7 @@
 	}
 	for _, l := range s.newest().Out {
 		x := s.server(l.ID)
-		if l.Step == Replacing && x.State != inst.Gone && (next.leaving(l.ID) == nil || next.leaving(l.ID).Step != Replacing) {
+		if l.Step == Replacing && x.State != registry.Gone && (next.leaving(l.ID) == nil || next.leaving(l.ID).Step != Replacing) {
 			s.cause = fmt.Errorf("%s was handed over, and is taken back", l.ID)
 		}
 	}
@@ -257,7 +257,7 @@
 				if s.bad == newAtOnce && x.Revision == 2 {
 					share = 1
 				}
-				if x.State == inst.Ready && share > 0 {
+				if x.State == registry.Ready && share > 0 {
 					do(func() {
 						s.may.requests--
 						if x.Revision == 2 && s.kept[a.obeys].Phase == Forward && rules.Share(x.ID, x.Addr, x.Revision) == 0 {
@@ -292,18 +292,18 @@
 	}
 	for _, id := range s.word {
 		x := s.server(id)
-		if x == nil || x.State == inst.Gone {
+		if x == nil || x.State == registry.Gone {
 			continue
 		}
 		do(func() { s.replace(x) })
 	}
 	for i := range s.servers {
 		x := &s.servers[i]
-		if s.may.silences > 0 && x.State == inst.Ready && s.newest().leaving(x.ID) != nil {
-			do(func() { s.may.silences--; x.State = inst.Lost })
+		if s.may.silences > 0 && x.State == registry.Ready && s.newest().leaving(x.ID) != nil {
+			do(func() { s.may.silences--; x.State = registry.Lost })
 		}
-		if x.State == inst.Lost {
-			do(func() { x.State = inst.Ready })
+		if x.State == registry.Lost {
+			do(func() { x.State = registry.Ready })
 		}
 	}
 	return steps
@@ -313,7 +313,7 @@
 func (s *small) count(a *smallAgent) {
 	id := a.pending
 	a.pending = ""
-	if x := s.server(id); x.State == inst.Gone {
+	if x := s.server(id); x.State == registry.Gone {
 		return // turned away: it has not run
 	}
 	a.held[id]++
@@ -334,16 +334,16 @@
 	}
 	serving := 0
 	for _, y := range s.servers {
-		if y.ID != x.ID && y.State == inst.Ready && s.newest().Rules().Share(y.ID, y.Addr, y.Revision) > 0 {
+		if y.ID != x.ID && y.State == registry.Ready && s.newest().Rules().Share(y.ID, y.Addr, y.Revision) > 0 {
 			serving++
 		}
 	}
 	if serving == 0 && s.may.silences == 0 {
 		s.cause = fmt.Errorf("%s is replaced, and nobody else serves", x.ID)
 	}
-	x.State = inst.Gone
+	x.State = registry.Gone
 	next := x.Server
-	next.ID, next.State, next.Revision = x.ID+"'", inst.Ready, s.newest().target()
+	next.ID, next.State, next.Revision = x.ID+"'", registry.Ready, s.newest().target()
 	s.servers = append(s.servers, smallServer{Server: next})
 }
 
--- a/internal/rollout/record_test.go
+++ b/internal/rollout/record_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"chalkdoor.example/chalkdoor/internal/fault"
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 func spec(t *testing.T) *Spec {
@@ -265,8 +265,8 @@
 				}
 			case 3:
 				s := &servers[rapid.IntRange(0, len(servers)-1).Draw(t, "which")]
-				s.State = rapid.SampledFrom([]inst.State{inst.Ready, inst.Lost, inst.Draining, inst.Gone}).Draw(t, "state")
-				if s.State == inst.Gone {
+				s.State = rapid.SampledFrom([]registry.State{registry.Ready, registry.Lost, registry.Draining, registry.Gone}).Draw(t, "state")
+				if s.State == registry.Gone {
 					serve(s.Addr, rapid.SampledFrom([]int{1, 2, 2, 2}).Draw(t, "revision"))
 				}
 			case 4:
@@ -280,15 +280,15 @@
 			}
 			for _, l := range rec.Out { // the platform's turn
 				for i := range servers {
-					if s := &servers[i]; s.ID == l.ID && l.Step == Replacing && s.State == inst.Ready && rapid.Bool().Draw(t, "replaced") {
-						s.State = inst.Gone
+					if s := &servers[i]; s.ID == l.ID && l.Step == Replacing && s.State == registry.Ready && rapid.Bool().Draw(t, "replaced") {
+						s.State = registry.Gone
 						serve(s.Addr, rec.target())
 					}
 				}
 			}
 			f := &Facts{Agents: w.Agents([]string{"a"}), Watch: w}
 			for _, s := range servers {
-				if s.State != inst.Gone {
+				if s.State != registry.Gone {
 					f.Servers = append(f.Servers, s)
 				}
 			}
@@ -313,7 +313,7 @@
 					t.Fatalf("%s is taken, and %d are out", l.ID, len(n.Out)+len(n.In))
 				}
 				for _, s := range f.Servers {
-					if old := was.leaving(l.ID); s.ID == l.ID && s.State == inst.Ready && l.Step > Emptying && (old == nil || old.Step < Emptying) {
+					if old := was.leaving(l.ID); s.ID == l.ID && s.State == registry.Ready && l.Step > Emptying && (old == nil || old.Step < Emptying) {
 						t.Fatalf("%s goes from %v to %s at once", l.ID, old, l.Step)
 					}
 				}
--- a/internal/rollout/sim_test.go
+++ b/internal/rollout/sim_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 // figures of a run, for the log.
@@ -169,7 +169,7 @@
 	id := f.rec.Out[0].ID
 	f.burst = 2
 	f.until("its return", func() bool { return f.rec.leaving(id) == nil })
-	assert.Equal(t, inst.Ready, f.byID[id].State)
+	assert.Equal(t, registry.Ready, f.byID[id].State)
 	f.play(60)
 	assert.Empty(t, f.rec.Out, "none is taken while there is no room")
 	assert.Contains(t, f.machine.waits[len(f.machine.waits)-1], "has room for")
@@ -185,7 +185,7 @@
 	f.start()
 	f.until("half of it", func() bool { _, fresh := f.revisions(); return fresh >= 3 })
 	for _, s := range append([]*simServer(nil), f.servers...) {
-		if s.Zone == "k/b" && s.State == inst.Ready {
+		if s.Zone == "k/b" && s.State == registry.Ready {
 			f.crash(s, 5*time.Minute)
 		}
 	}
@@ -228,7 +228,7 @@
 		y = f.servers[1]
 	}
 	for _, s := range []*simServer{x, y} {
-		s.State, s.goneAt = inst.Draining, f.now+2*time.Second
+		s.State, s.goneAt = registry.Draining, f.now+2*time.Second
 		for _, a := range f.agents {
 			delete(a.held, s.ID)
 		}
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 // Status is what an operator is told of a rollout. What only the holder of the duty knows is empty
@@ -49,7 +49,7 @@
 	}
 	for i := range servers {
 		switch v := &servers[i]; {
-		case v.State > inst.Lost:
+		case v.State > registry.Lost:
 		case v.Revision == r.Spec.To:
 			s.New++
 		case v.Revision == r.Spec.From:
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"chalkdoor.example/chalkdoor/internal/inst"
+	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
 const (
@@ -26,7 +26,7 @@
 // Server is what the holder knows of one server of the rollout's service.
 type Server struct {
 	ID, Addr, Zone, Region string
-	State                  inst.State
+	State                  registry.State
 	Revision               int     // of the rollout's model; -1: it doesn't hold it
 	Capacity               float64 // what it can do, in units common to all, such as slots
 	Busy                   float64 // the part of that in use
@@ -144,7 +144,7 @@
 	}
 	for i := range t.f.Servers {
 		s := &t.f.Servers[i]
-		if s.State > inst.Lost {
+		if s.State > registry.Lost {
 			continue
 		}
 		if !back {
@@ -198,11 +198,11 @@
 		t.change()
 		l.Step, l.Since = to, t.version
 	}
-	if l.Step < Replacing && (s == nil || s.State >= inst.Draining) {
+	if l.Step < Replacing && (s == nil || s.State >= registry.Draining) {
 		step(Replacing) // the platform, or a fault, was first
 		return true
 	}
-	if l.Step < Closed && s.State != inst.Ready {
+	if l.Step < Closed && s.State != registry.Ready {
 		step(Closed) // it fell silent: it may be back
 		return true
 	}
@@ -218,7 +218,7 @@
 		t.wait("%s is to be replaced: it is the platform's turn for %v", l.ID, (t.now - since).Round(time.Second))
 		return true
 	}
-	if s.State == inst.Ready && t.needed(s, l.Step) {
+	if s.State == registry.Ready && t.needed(s, l.Step) {
 		t.shun(l.ID, max(2*seconds(spec.Pace.SpreadS), 10*time.Second))
 		t.wait("%s is given back: it is needed now", l.ID)
 		return false
@@ -265,7 +265,7 @@
 func (t *turn) cameBack(l *Leaving) *Server {
 	for i := range t.f.Servers {
 		s := &t.f.Servers[i]
-		if s.ID != l.ID && s.Addr == l.Addr && s.State == inst.Ready && s.Revision >= 0 && s.Revision != t.rec.target() {
+		if s.ID != l.ID && s.Addr == l.Addr && s.State == registry.Ready && s.Revision >= 0 && s.Revision != t.rec.target() {
 			return s
 		}
 	}
@@ -297,7 +297,7 @@
 func (t *turn) arrive() {
 	for i := range t.f.Servers {
 		s := &t.f.Servers[i]
-		if s.State != inst.Ready || t.rec.leaving(s.ID) != nil {
+		if s.State != registry.Ready || t.rec.leaving(s.ID) != nil {
 			continue
 		}
 		if s.Revision != t.rec.target() {
@@ -351,7 +351,7 @@
 	var keep []Entering
 	for _, e := range t.rec.In {
 		s := t.byID[e.ID]
-		if s == nil || s.State != inst.Ready {
+		if s == nil || s.State != registry.Ready {
 			t.change()
 			continue
 		}
@@ -429,7 +429,7 @@
 	var from []*Server
 	for i := range t.f.Servers {
 		s := &t.f.Servers[i]
-		if s.State != inst.Ready {
+		if s.State != registry.Ready {
 			continue
 		}
 		z := zones[s.Zone]
@@ -481,13 +481,13 @@
 	}
 	there := false
 	for _, s := range t.f.Servers {
-		if s.State > inst.Lost || s.Revision < 0 {
+		if s.State > registry.Lost || s.Revision < 0 {
 			continue
 		}
 		if s.Revision != t.rec.target() {
 			return
 		}
-		there = there || s.State == inst.Ready
+		there = there || s.State == registry.Ready
 	}
 	if !there {
 		return
@@ -528,7 +528,7 @@
 	t.loadAt = t.now
 	now := map[string]float64{}
 	for _, s := range t.f.Servers {
-		if s.State == inst.Ready {
+		if s.State == registry.Ready {
 			now[s.Region] += s.Busy * s.Capacity
 		}
 	}
@@ -543,7 +543,7 @@
 func (t *turn) sum(region, without string) (all, spare float64) {
 	var each []float64
 	for i := range t.f.Servers {
-		if s := &t.f.Servers[i]; s.Region == region && s.State == inst.Ready && s.ID != without && s.Well {
+		if s := &t.f.Servers[i]; s.Region == region && s.State == registry.Ready && s.ID != without && s.Well {
 			each = append(each, t.capacity(s))
 		}
 	}
@@ -585,7 +585,7 @@
 		for i := range t.f.Servers {
 			s := &t.f.Servers[i]
 			t.replicas[s.ID] = replica{region: s.Region, side: t.rec.Spec.side(s.Revision),
-				serves: s.State == inst.Ready && s.Well && t.rec.leaving(s.ID) == nil && t.share(s) > 0}
+				serves: s.State == registry.Ready && s.Well && t.rec.leaving(s.ID) == nil && t.share(s) > 0}
 		}
 	}
 	g := t.f.Watch.Groups
