Rename package quota to retrybudget

Cause: the name was of the earlier house style; retrybudget is the field's term. Measured: go build and go vet of the tree: ok.

--- a/internal/gateway/door.go
+++ b/internal/gateway/door.go
@@ -25,7 +25,7 @@
 	"chalkdoor.example/chalkdoor/internal/hub"
 	"chalkdoor.example/chalkdoor/internal/node"
 	"chalkdoor.example/chalkdoor/internal/pick"
-	"chalkdoor.example/chalkdoor/internal/quota"
+	"chalkdoor.example/chalkdoor/internal/retrybudget"
 )
 
 const (
@@ -64,7 +64,7 @@
 
 	mu     sync.Mutex
 	picker *pick.Picker
-	quota  *quota.Budget
+	quota  *retrybudget.Budget
 
 	Figures Figures
 
@@ -78,7 +78,7 @@
 	d := &Door{set: set, start: time.Now(), checks: make(chan struct{}, 1), able: make(chan struct{}),
 		memory: semaphore.NewWeighted(set.Limits.MemoryMB << 20 / 4),
 		picker: pick.New(pick.Options{Zone: set.Zone, Seed: seed}),
-		quota:  quota.New(set.Bounds.RetryRatio, time.Duration(set.Bounds.RetryWindowS*float64(time.Second)), set.Bounds.RetrySlack)}
+		quota:  retrybudget.New(set.Bounds.RetryRatio, time.Duration(set.Bounds.RetryWindowS*float64(time.Second)), set.Bounds.RetrySlack)}
 	base, cancel := context.WithCancel(context.Background())
 	d.breakOff = cancel
 	d.pool = newPool(max(set.Limits.FDs/2, 64))
--- a/internal/quota/quota.go
+++ b/internal/retrybudget/quota.go
@@ -1,4 +1,4 @@
-// Package quota keeps the retry budget that all agents share, without asking any of them: over
+// Package retrybudget keeps the retry budget that all agents share, without asking any of them: over
 // any window the sends beyond the first of each request stay within ratio x requests + slack,
 // summed over the fleet, also while agents die, start again or cannot hear each other.
 //
@@ -7,7 +7,7 @@
 // window has passed, as its predecessor may have spent it. A fifth of the slack is given to
 // nobody: it covers that each agent counts the windows that end with its own sends, and that a
 // few requests lie unevenly in them. It is pure and not safe for concurrent use.
-package quota
+package retrybudget
 
 import (
 	"slices"
--- a/internal/quota/quota_test.go
+++ b/internal/retrybudget/quota_test.go
@@ -1,4 +1,4 @@
-package quota
+package retrybudget
 
 import (
 	"fmt"
