Rename package ctl to controlapi

Cause: the name was of the earlier house style; controlapi is the field's term. Change: the package, its folder, its importers and the pages that name it; nothing else.

--- a/cmd/edgectl/main.go
+++ b/cmd/edgectl/main.go
@@ -16,7 +16,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"chalkdoor.example/chalkdoor/internal/ctl"
+	"chalkdoor.example/chalkdoor/internal/controlapi"
 	"chalkdoor.example/chalkdoor/internal/fault"
 	"chalkdoor.example/chalkdoor/internal/node"
 )
@@ -89,12 +89,12 @@
 	return all, nil
 }
 
-func (s *session) client() (*ctl.Client, error) {
+func (s *session) client() (*controlapi.Client, error) {
 	all, err := s.agents()
 	if err != nil {
 		return nil, err
 	}
-	return ctl.NewClient(all), nil
+	return controlapi.NewClient(all), nil
 }
 
 // print writes v as JSON, or else what text says of it.
--- a/cmd/edgectl/main_test.go
+++ b/cmd/edgectl/main_test.go
@@ -17,7 +17,7 @@
 	"go.uber.org/goleak"
 
 	"chalkdoor.example/chalkdoor/internal/conf"
-	"chalkdoor.example/chalkdoor/internal/ctl"
+	"chalkdoor.example/chalkdoor/internal/controlapi"
 	"chalkdoor.example/chalkdoor/internal/fault"
 	"chalkdoor.example/chalkdoor/internal/store"
 )
@@ -33,30 +33,30 @@
 	last     []byte
 }
 
-func (r *register) Beat(context.Context, *ctl.Beat) (ctl.BeatReply, error) {
-	return ctl.BeatReply{}, nil
+func (r *register) Beat(context.Context, *controlapi.Beat) (controlapi.BeatReply, error) {
+	return controlapi.BeatReply{}, nil
 }
 func (r *register) Leave(context.Context, string, uint64) error { return nil }
 
-func (r *register) Submit(_ context.Context, patch bool, ifMatch int64, body []byte) ctl.Verdict {
+func (r *register) Submit(_ context.Context, patch bool, ifMatch int64, body []byte) controlapi.Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if bytes.Equal(body, r.last) {
-		return ctl.Verdict{Kind: ctl.Taken, Revision: r.revision}
+		return controlapi.Verdict{Kind: controlapi.Taken, Revision: r.revision}
 	}
 	if ifMatch != r.revision {
-		return ctl.Verdict{Kind: ctl.Conflict, Reason: fmt.Sprint("version ", r.revision, " is current")}
+		return controlapi.Verdict{Kind: controlapi.Conflict, Reason: fmt.Sprint("version ", r.revision, " is current")}
 	}
 	next, err := r.doc.Next(patch, body)
 	if err != nil {
-		return ctl.Verdict{Kind: ctl.Invalid, Reason: err.Error()}
+		return controlapi.Verdict{Kind: controlapi.Invalid, Reason: err.Error()}
 	}
 	r.doc, r.revision, r.last = next, next.Revision, body
 	if r.unclear > 0 {
 		r.unclear--
-		return ctl.Verdict{Reason: "no answer from the tail"}
+		return controlapi.Verdict{Reason: "no answer from the tail"}
 	}
-	return ctl.Verdict{Kind: ctl.Taken, Revision: next.Revision}
+	return controlapi.Verdict{Kind: controlapi.Taken, Revision: next.Revision}
 }
 
 func (r *register) Config(context.Context) ([]byte, bool, error) {
@@ -78,13 +78,13 @@
 	return nil, fault.New(fault.Unavailable, "", "", "no %s", what)
 }
 
-func start(t *testing.T, p ctl.Plane) string {
+func start(t *testing.T, p controlapi.Plane) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- ctl.NewServer(p, ctl.Options{}).Serve(ctx, ln) }()
+	go func() { done <- controlapi.NewServer(p, controlapi.Options{}).Serve(ctx, ln) }()
 	t.Cleanup(func() {
 		cancel()
 		assert.NoError(t, <-done)
--- a/cmd/edgectl/read.go
+++ b/cmd/edgectl/read.go
@@ -11,7 +11,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"chalkdoor.example/chalkdoor/internal/ctl"
+	"chalkdoor.example/chalkdoor/internal/controlapi"
 	"chalkdoor.example/chalkdoor/internal/fault"
 	"chalkdoor.example/chalkdoor/internal/store"
 )
@@ -29,7 +29,7 @@
 	}
 	what := line.Command()
 	if !c.Each {
-		raw, err := ctl.NewClient(agents).Ops(s.ctx, what)
+		raw, err := controlapi.NewClient(agents).Ops(s.ctx, what)
 		if err != nil {
 			return err
 		}
@@ -37,7 +37,7 @@
 	}
 	var failed error
 	for _, a := range agents {
-		raw, err := ctl.NewClient([]string{a}).Ops(s.ctx, what)
+		raw, err := controlapi.NewClient([]string{a}).Ops(s.ctx, what)
 		if err != nil {
 			failed = err
 			raw, _ = json.Marshal(map[string]string{"error": err.Error()})
--- a/internal/ctl/server.go
+++ b/internal/controlapi/server.go
@@ -1,4 +1,4 @@
-package ctl
+package controlapi
 
 import (
 	"bytes"
--- a/internal/ctl/table.go
+++ b/internal/controlapi/table.go
@@ -1,6 +1,6 @@
-// Package ctl answers the calls of servers and operators on the control address, and calls it as
+// Package controlapi answers the calls of servers and operators on the control address, and calls it as
 // a client. Every call is declared once, in the table below.
-package ctl
+package controlapi
 
 import (
 	"context"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,8 +14,8 @@
 
 	"chalkdoor.example/chalkdoor/internal/chain"
 	"chalkdoor.example/chalkdoor/internal/conf"
+	"chalkdoor.example/chalkdoor/internal/controlapi"
 	"chalkdoor.example/chalkdoor/internal/controlplane"
-	"chalkdoor.example/chalkdoor/internal/ctl"
 	"chalkdoor.example/chalkdoor/internal/event"
 	"chalkdoor.example/chalkdoor/internal/gateway"
 	"chalkdoor.example/chalkdoor/internal/hub"
@@ -39,7 +39,7 @@
 	core   *controlplane.Member
 	hub    *hub.Hub
 	door   *gateway.Door
-	ctl    *ctl.Server
+	ctl    *controlapi.Server
 	ending atomic.Bool
 }
 
@@ -88,7 +88,7 @@
 		OnNotice: d.door.Heard, LinkMbps: s.Limits.LinkMbps,
 	})
 	d.door.Notify = d.hub.Notify
-	d.ctl = ctl.NewServer(&plane{d}, ctl.Options{SubmitTimeout: 950 * time.Millisecond, ReadTimeout: 900 * time.Millisecond})
+	d.ctl = controlapi.NewServer(&plane{d}, controlapi.Options{SubmitTimeout: 950 * time.Millisecond, ReadTimeout: 900 * time.Millisecond})
 	return d, nil
 }
 
--- a/internal/daemon/plane.go
+++ b/internal/daemon/plane.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/chain"
-	"chalkdoor.example/chalkdoor/internal/ctl"
+	"chalkdoor.example/chalkdoor/internal/controlapi"
 	"chalkdoor.example/chalkdoor/internal/fault"
 	"chalkdoor.example/chalkdoor/internal/registry"
 )
@@ -14,19 +14,19 @@
 // plane is what the calls of servers and operators act on.
 type plane struct{ d *Daemon }
 
-func (p *plane) Beat(ctx context.Context, b *ctl.Beat) (ctl.BeatReply, error) {
+func (p *plane) Beat(ctx context.Context, b *controlapi.Beat) (controlapi.BeatReply, error) {
 	in := &registry.Instance{ID: b.ID, Service: b.Service, Addr: b.Addr, Zone: b.Zone, Revision: string(b.Revision), Slots: b.Slots,
 		Seq: b.Seq, Cold: time.Duration(b.ColdMs * float64(time.Millisecond))}
-	if b.State == ctl.Draining {
+	if b.State == controlapi.Draining {
 		in.State = registry.Draining
 	}
 	for _, m := range b.Models {
 		in.Models = append(in.Models, registry.Model{Name: m.Name, Revision: m.Revision})
 	}
 	if !p.d.hub.Beat(ctx, in) {
-		return ctl.BeatReply{}, fault.New(fault.Unavailable, "beat", "call another agent", "no hub has taken it")
+		return controlapi.BeatReply{}, fault.New(fault.Unavailable, "beat", "call another agent", "no hub has taken it")
 	}
-	return ctl.BeatReply{Target: p.target()}, nil
+	return controlapi.BeatReply{Target: p.target()}, nil
 }
 
 // target is where servers are to beat from now on: elsewhere, if this process is ending.
@@ -48,18 +48,18 @@
 	return nil
 }
 
-func (p *plane) Submit(ctx context.Context, patch bool, ifMatch int64, body []byte) ctl.Verdict {
+func (p *plane) Submit(ctx context.Context, patch bool, ifMatch int64, body []byte) controlapi.Verdict {
 	v := p.d.core.Submit(ctx, &chain.Order{Patch: patch, IfMatch: ifMatch, Body: body})
-	kind := ctl.Unclear
+	kind := controlapi.Unclear
 	switch v.Kind {
 	case chain.Taken:
-		kind = ctl.Taken
+		kind = controlapi.Taken
 	case chain.Conflict:
-		kind = ctl.Conflict
+		kind = controlapi.Conflict
 	case chain.Invalid:
-		kind = ctl.Invalid
+		kind = controlapi.Invalid
 	}
-	return ctl.Verdict{Kind: kind, Revision: v.Revision, Reason: v.Reason}
+	return controlapi.Verdict{Kind: kind, Revision: v.Revision, Reason: v.Reason}
 }
 
 func (p *plane) Config(ctx context.Context) ([]byte, bool, error) {
--- a/internal/lab/defects/table.go
+++ b/internal/lab/defects/table.go
@@ -10,7 +10,7 @@
 	feedPackage  = "./internal/feed"
 	instPackage  = "./internal/registry"
 	hubPackage   = "./internal/hub"
-	ctlPackage   = "./internal/ctl"
+	ctlPackage   = "./internal/controlapi"
 )
 
 // in is the list of one package.
@@ -251,10 +251,10 @@
 		Packages: in(hubPackage), Run: "^TestTheEndIsToldAgain$"},
 
 	// Control calls.
-	{ID: "ctl-unclear-as-conflict", Point: Races, File: "internal/ctl/server.go",
+	{ID: "ctl-unclear-as-conflict", Point: Races, File: "internal/controlapi/server.go",
 		Old: "		c.refuse(http.StatusServiceUnavailable, v.Reason)\n	}\n}\n\n// parseIfMatch", New: "		c.refuse(http.StatusPreconditionFailed, v.Reason)\n	}\n}\n\n// parseIfMatch",
 		Packages: in(ctlPackage), Run: "^TestOrders$"},
-	{ID: "ctl-order-without-version", Point: Races, File: "internal/ctl/server.go",
+	{ID: "ctl-order-without-version", Point: Races, File: "internal/controlapi/server.go",
 		Old: "	if len(values) == 1 {", New: "	if len(values) == 0 {\n		return 0, nil\n	}\n	if len(values) == 1 {",
 		Packages: in(ctlPackage), Run: "^TestOrders$"},
 }
