--- a/cmd/edgectl/config.go
+++ b/cmd/edgectl/config.go
@@ -10,8 +10,8 @@
 	"github.com/knadh/koanf/providers/rawbytes"
 	"github.com/knadh/koanf/v2"
 
+	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/conf"
-	"chalkdoor.example/chalkdoor/internal/fault"
 )
 
 // load reads an operator's file as JSON. JSON stays byte for byte.
@@ -20,24 +20,24 @@
 	if name != "-" {
 		f, err := os.Open(name)
 		if err != nil {
-			return nil, fault.Wrap(err, fault.Internal, "", "name a file that can be read")
+			return nil, apierror.Wrap(err, apierror.Internal, "", "name a file that can be read")
 		}
 		defer f.Close()
 		from = f
 	}
 	raw, err := io.ReadAll(io.LimitReader(from, conf.MaxDoc+1))
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, name, "name a file that can be read")
+		return nil, apierror.Wrap(err, apierror.Internal, name, "name a file that can be read")
 	}
 	if !strings.HasSuffix(name, ".toml") {
 		return raw, nil
 	}
 	k := koanf.New("\x00") // names may hold dots
 	if err := k.Load(rawbytes.Provider(raw), toml.Parser()); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, name, "write it as TOML")
+		return nil, apierror.Wrap(err, apierror.Invalid, name, "write it as TOML")
 	}
 	if raw, err = json.Marshal(k.Raw()); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, name, "use what JSON has too")
+		return nil, apierror.Wrap(err, apierror.Invalid, name, "use what JSON has too")
 	}
 	return raw, nil
 }
@@ -70,7 +70,7 @@
 	var base int64
 	if ifMatch != nil {
 		base = *ifMatch
-	} else if _, base, err = agents.Config(s.ctx); err != nil && (patch || fault.KindOf(err) != fault.NotFound) {
+	} else if _, base, err = agents.Config(s.ctx); err != nil && (patch || apierror.KindOf(err) != apierror.NotFound) {
 		return err
 	}
 	rev, err := agents.Submit(s.ctx, patch, base, body)
@@ -125,7 +125,7 @@
 	}
 	next, rev, err := conf.Next(base, c.Patch, body)
 	if err != nil {
-		return fault.Within(err, c.File)
+		return apierror.Within(err, c.File)
 	}
 	d, err := conf.Parse(next)
 	if err != nil {
--- a/cmd/edgectl/main.go
+++ b/cmd/edgectl/main.go
@@ -16,8 +16,8 @@
 
 	"github.com/alecthomas/kong"
 
+	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/controlapi"
-	"chalkdoor.example/chalkdoor/internal/fault"
 	"chalkdoor.example/chalkdoor/internal/node"
 )
 
@@ -75,7 +75,7 @@
 	}
 	set, err := node.Load(node.Path())
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "--agent", "name an agent's control address")
+		return nil, apierror.Wrap(err, apierror.Internal, "--agent", "name an agent's control address")
 	}
 	var all []string
 	for _, a := range append([]string{set.Listen.Control}, set.Seeds...) {
@@ -84,7 +84,7 @@
 		}
 	}
 	if len(all) == 0 {
-		return nil, fault.New(fault.Internal, "--agent", "name an agent's control address", "the settings file names none")
+		return nil, apierror.New(apierror.Internal, "--agent", "name an agent's control address", "the settings file names none")
 	}
 	return all, nil
 }
@@ -112,7 +112,7 @@
 func (versionCmd) Run(s *session) error {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
-		return fault.New(fault.Internal, "", "build it with modules", "this build knows nothing of itself")
+		return apierror.New(apierror.Internal, "", "build it with modules", "this build knows nothing of itself")
 	}
 	v := struct {
 		Version  string `json:"version"`
@@ -151,14 +151,14 @@
 	if err == nil {
 		return exitOK
 	}
-	kind := fault.KindOf(err)
+	kind := apierror.KindOf(err)
 	if c.JSON {
 		_ = json.NewEncoder(errs).Encode(map[string]string{"error": err.Error(), "kind": kind.String()})
 	} else {
 		fmt.Fprintln(errs, "edgectl:", clean(err.Error()))
 	}
-	return map[fault.Kind]int{fault.Internal: exitUsage, fault.Invalid: exitInvalid, fault.TooLarge: exitInvalid, fault.Conflict: exitConflict,
-		fault.Unavailable: exitUnavailable, fault.Unclear: exitUnavailable, fault.Damaged: exitDamaged, fault.NotFound: exitNotFound}[kind]
+	return map[apierror.Kind]int{apierror.Internal: exitUsage, apierror.Invalid: exitInvalid, apierror.TooLarge: exitInvalid, apierror.Conflict: exitConflict,
+		apierror.Unavailable: exitUnavailable, apierror.Unclear: exitUnavailable, apierror.Damaged: exitDamaged, apierror.NotFound: exitNotFound}[kind]
 }
 
 func main() {
--- a/cmd/edgectl/main_test.go
+++ b/cmd/edgectl/main_test.go
@@ -16,9 +16,9 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/controlapi"
-	"chalkdoor.example/chalkdoor/internal/fault"
 	"chalkdoor.example/chalkdoor/internal/store"
 )
 
@@ -75,7 +75,7 @@
 	case "view":
 		return map[string]any{"number": 3, "chain": []string{"a", "b"}, "voters": []map[string]any{{"disk": "d1"}}, "why": nil, "at": map[string]any{"age-ms": 4}}, nil
 	}
-	return nil, fault.New(fault.Unavailable, "", "", "no %s", what)
+	return nil, apierror.New(apierror.Unavailable, "", "", "no %s", what)
 }
 
 func start(t *testing.T, p controlapi.Plane) string {
--- a/cmd/edgectl/read.go
+++ b/cmd/edgectl/read.go
@@ -11,8 +11,8 @@
 
 	"github.com/alecthomas/kong"
 
+	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/controlapi"
-	"chalkdoor.example/chalkdoor/internal/fault"
 	"chalkdoor.example/chalkdoor/internal/store"
 )
 
@@ -64,7 +64,7 @@
 	d.UseNumber()
 	v, err := decode(d)
 	if err != nil {
-		return fault.Wrap(err, fault.Unavailable, "", "ask another agent, or use --json")
+		return apierror.Wrap(err, apierror.Unavailable, "", "ask another agent, or use --json")
 	}
 	return render(s.out, v, "")
 }
@@ -219,14 +219,14 @@
 func (c *verifyCmd) Run(s *session) error {
 	rep, err := store.Verify(c.Dir)
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, c.Dir, "name a folder that can be read")
+		return apierror.Wrap(err, apierror.Internal, c.Dir, "name a folder that can be read")
 	}
 	raw, err := json.Marshal(rep)
 	if err == nil {
 		err = s.show(raw)
 	}
 	if err == nil && rep.Damaged {
-		err = fault.New(fault.Damaged, c.Dir, "start the agent: it sets the file aside and takes a copy from the others", "%s", rep.Why)
+		err = apierror.New(apierror.Damaged, c.Dir, "start the agent: it sets the file aside and takes a copy from the others", "%s", rep.Why)
 	}
 	return err
 }
--- a/internal/fault/fault.go
+++ b/internal/apierror/fault.go
@@ -1,6 +1,6 @@
-// Package fault gives errors a kind that programs act on and a message that people act on: the
+// Package apierror gives errors a kind that programs act on and a message that people act on: the
 // key that is wrong, what is wrong with it, and the remedy.
-package fault
+package apierror
 
 import (
 	"fmt"
--- a/internal/fault/fault_test.go
+++ b/internal/apierror/fault_test.go
@@ -1,4 +1,4 @@
-package fault
+package apierror
 
 import (
 	"io"
--- a/internal/conf/change.go
+++ b/internal/conf/change.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"strconv"
 
-	"chalkdoor.example/chalkdoor/internal/fault"
+	"chalkdoor.example/chalkdoor/internal/apierror"
 )
 
 // Next carries out an order on the current configuration (empty: there is none yet): a whole
@@ -35,7 +35,7 @@
 		revision = d.Revision
 	}
 	if len(body) > MaxBody {
-		return nil, fault.New(fault.TooLarge, "", "send less at once",
+		return nil, apierror.New(apierror.TooLarge, "", "send less at once",
 			"the body has %d bytes, at most %d are taken", len(body), MaxBody)
 	}
 	if patch {
@@ -111,7 +111,7 @@
 			old := find(out, c.key)
 			if old != nil && isObject(old.val) && isObject(c.val) {
 				if c.val, err = merged(old.val, c.val); err != nil {
-					return nil, fault.Within(err, clip(c.key))
+					return nil, apierror.Within(err, clip(c.key))
 				}
 			}
 			set(c.key, c.val)
@@ -136,7 +136,7 @@
 			}
 			now, err := step.apply(old, val)
 			if err != nil {
-				return fault.Within(err, clip(key))
+				return apierror.Within(err, clip(key))
 			}
 			if now != nil {
 				set(key, now)
@@ -144,7 +144,7 @@
 			return nil
 		})
 		if err != nil {
-			return nil, fault.Within(err, step.key)
+			return nil, apierror.Within(err, step.key)
 		}
 	}
 	return joinObject(out), nil
@@ -230,7 +230,7 @@
 		name, err := nameOf(item)
 		switch j, there := at[name]; {
 		case err != nil:
-			return fault.Within(err, strconv.Itoa(i))
+			return apierror.Within(err, strconv.Itoa(i))
 		case name == "":
 			return invalid(strconv.Itoa(i)+".name", "give each item its name", "it is missing")
 		case sent[name]:
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"chalkdoor.example/chalkdoor/internal/fault"
+	"chalkdoor.example/chalkdoor/internal/apierror"
 )
 
 const example = `{"revision":7,"routes":[
@@ -121,8 +121,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			_, err := Parse([]byte(variant(t, c.old, c.now)))
 			require.Error(t, err)
-			assert.Equal(t, fault.Invalid, fault.KindOf(err))
-			var f *fault.Error
+			assert.Equal(t, apierror.Invalid, apierror.KindOf(err))
+			var f *apierror.Error
 			require.ErrorAs(t, err, &f)
 			assert.Equal(t, c.key, f.Key, err.Error())
 			assert.NotEmpty(t, f.Remedy)
@@ -134,16 +134,16 @@
 	for n := range len(example) {
 		_, err := Parse([]byte(example[:n]))
 		require.Error(t, err, "cut at %d", n)
-		require.Equal(t, fault.Invalid, fault.KindOf(err))
+		require.Equal(t, apierror.Invalid, apierror.KindOf(err))
 	}
 	for _, raw := range []string{"", " ", "null", "[]", "7", `"x"`, example + "x", example + "{}", "\xef\xbb\xbf" + example,
 		strings.Replace(example, "r-b", "r-\xff", 1), strings.Replace(example, "300", "NaN", 1), strings.Replace(example, "[{", "[,{", 1)} {
 		_, err := Parse([]byte(raw))
 		require.Error(t, err, "%.20q", raw)
-		assert.Equal(t, fault.Invalid, fault.KindOf(err))
+		assert.Equal(t, apierror.Invalid, apierror.KindOf(err))
 	}
 	_, err := Parse([]byte(example + strings.Repeat(" ", MaxDoc)))
-	assert.Equal(t, fault.TooLarge, fault.KindOf(err))
+	assert.Equal(t, apierror.TooLarge, apierror.KindOf(err))
 }
 
 func TestTakesWhatIsValid(t *testing.T) {
@@ -189,14 +189,14 @@
 	assert.Equal(t, example, string(next))
 	for _, now := range []string{`"revision":7`, `"revision":6`, `"revision":-8`} {
 		_, _, err = Next(next, false, []byte(variant(t, `"revision":7`, now)))
-		assert.Equal(t, fault.Invalid, fault.KindOf(err), now)
+		assert.Equal(t, apierror.Invalid, apierror.KindOf(err), now)
 	}
 	next, rev, err = Next(next, false, []byte(variant(t, `"revision":7`, `"revision":12`)))
 	require.NoError(t, err)
 	assert.Equal(t, int64(12), rev)
 	assert.Contains(t, string(next), `"revision":12`)
 	_, _, err = Next(next, false, []byte(`{"revision":13`+strings.Repeat(" ", MaxBody)))
-	assert.Equal(t, fault.TooLarge, fault.KindOf(err))
+	assert.Equal(t, apierror.TooLarge, apierror.KindOf(err))
 }
 
 func TestNextPatchesNamedItems(t *testing.T) {
@@ -245,14 +245,14 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			_, _, err := Next([]byte(example), true, []byte(c.body))
-			var f *fault.Error
+			var f *apierror.Error
 			require.ErrorAs(t, err, &f)
-			assert.Equal(t, fault.Invalid, f.Kind)
+			assert.Equal(t, apierror.Invalid, f.Kind)
 			assert.Equal(t, c.key, f.Key, err.Error())
 		})
 	}
 	_, _, err := Next(nil, true, []byte(`{"revision":8}`))
-	assert.Equal(t, fault.Invalid, fault.KindOf(err))
+	assert.Equal(t, apierror.Invalid, apierror.KindOf(err))
 }
 
 // items draws a list of named items with fields that nobody knows.
@@ -341,7 +341,7 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		d, err := Parse(raw)
 		if err != nil {
-			require.Contains(t, []fault.Kind{fault.Invalid, fault.TooLarge}, fault.KindOf(err))
+			require.Contains(t, []apierror.Kind{apierror.Invalid, apierror.TooLarge}, apierror.KindOf(err))
 			return
 		}
 		var v map[string]any
--- a/internal/conf/doc.go
+++ b/internal/conf/doc.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"chalkdoor.example/chalkdoor/internal/fault"
+	"chalkdoor.example/chalkdoor/internal/apierror"
 )
 
 const (
@@ -21,7 +21,7 @@
 // An error is a fault of kind Invalid (TooLarge past MaxDoc) that names the key and the remedy.
 func Parse(raw []byte) (*Doc, error) {
 	if len(raw) > MaxDoc {
-		return nil, fault.New(fault.TooLarge, "", "split or shorten it",
+		return nil, apierror.New(apierror.TooLarge, "", "split or shorten it",
 			"the configuration has %d bytes, at most %d are kept", len(raw), MaxDoc)
 	}
 	if err := sound(raw); err != nil {
@@ -43,10 +43,10 @@
 		case "services":
 			services = val
 		case "limits":
-			return fault.Within(d.readLimits(val), "limits")
+			return apierror.Within(d.readLimits(val), "limits")
 		default:
 			if isList(val) {
-				return fault.Within(checkItems(string(key), val), clip(key))
+				return apierror.Within(checkItems(string(key), val), clip(key))
 			}
 		}
 		return nil
@@ -73,14 +73,14 @@
 			if name == "" {
 				name = strconv.Itoa(i)
 			}
-			return fault.Within(err, clip(name))
+			return apierror.Within(err, clip(name))
 		})
 		if err != nil {
-			return nil, fault.Within(err, l.key)
+			return nil, apierror.Within(err, l.key)
 		}
 	}
 	if err := d.index(); err != nil {
-		return nil, fault.Within(err, "routes")
+		return nil, apierror.Within(err, "routes")
 	}
 	return d, nil
 }
@@ -129,7 +129,7 @@
 		case "conn-limit":
 			return readInt(&s.ConnLimit, key, val)
 		case "inference-engine":
-			return fault.Within(s.readEngine(val), string(key))
+			return apierror.Within(s.readEngine(val), string(key))
 		}
 		return nil
 	})
@@ -172,7 +172,7 @@
 			if !isList(val) {
 				return wrongType(key, "a list")
 			}
-			return fault.Within(elements(val, func(_ int, m []byte) error {
+			return apierror.Within(elements(val, func(_ int, m []byte) error {
 				name, err := nameOf(m)
 				if name != "" {
 					e.Models = append(e.Models, name)
@@ -228,7 +228,7 @@
 		case "target-service":
 			return readText(&service, key, val)
 		case "weighted-split":
-			return fault.Within(r.readSplits(val), string(key))
+			return apierror.Within(r.readSplits(val), string(key))
 		}
 		return nil
 	})
@@ -277,7 +277,7 @@
 			err = invalid("weight", "give 0 or more", "it is %v", s.Weight)
 		}
 		if err != nil {
-			return fault.Within(err, strconv.Itoa(i))
+			return apierror.Within(err, strconv.Itoa(i))
 		}
 		if j := slices.IndexFunc(r.Splits, func(o Split) bool { return o.Service == s.Service }); j >= 0 {
 			r.Splits[j].Weight += s.Weight
@@ -368,9 +368,9 @@
 					return nil
 				}
 				if isList(val) {
-					return fault.Within(elements(val, claim), string(field))
+					return apierror.Within(elements(val, claim), string(field))
 				}
-				return fault.Within(claim(0, val), string(field))
+				return apierror.Within(claim(0, val), string(field))
 			}
 			return nil
 		})
@@ -379,7 +379,7 @@
 		}
 		names[name] = true
 		if err != nil {
-			return fault.Within(err, strconv.Itoa(i))
+			return apierror.Within(err, strconv.Itoa(i))
 		}
 		return nil
 	})
--- a/internal/conf/json.go
+++ b/internal/conf/json.go
@@ -7,14 +7,14 @@
 	"strconv"
 	"unicode/utf8"
 
-	"chalkdoor.example/chalkdoor/internal/fault"
+	"chalkdoor.example/chalkdoor/internal/apierror"
 )
 
 // The functions below walk JSON that was found valid as a whole, and hand out spans of it: items
 // are kept as they came and hardly anything is allocated for the fields that nobody reads.
 
 func invalid(key, remedy, format string, args ...any) error {
-	return fault.New(fault.Invalid, key, remedy, format, args...)
+	return apierror.New(apierror.Invalid, key, remedy, format, args...)
 }
 
 // sound refuses what is not exactly one JSON object.
@@ -30,7 +30,7 @@
 		return nil
 	}
 	var v json.RawMessage // says what is wrong, which Valid doesn't
-	return fault.Wrap(json.Unmarshal(raw, &v), fault.Invalid, "", remedy)
+	return apierror.Wrap(json.Unmarshal(raw, &v), apierror.Invalid, "", remedy)
 }
 
 func skipSpace(b []byte, i int) int {
--- a/internal/controlapi/client.go
+++ b/internal/controlapi/client.go
@@ -15,8 +15,8 @@
 
 	"github.com/go-faster/errors"
 
+	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/conf"
-	"chalkdoor.example/chalkdoor/internal/fault"
 )
 
 const (
@@ -66,7 +66,7 @@
 		Revision int64 `json:"revision"`
 	}
 	if err := json.Unmarshal(raw, &head); err != nil {
-		return nil, 0, fault.Wrap(err, fault.Unavailable, "revision", "ask another agent")
+		return nil, 0, apierror.Wrap(err, apierror.Unavailable, "revision", "ask another agent")
 	}
 	return raw, head.Revision, nil
 }
@@ -127,9 +127,9 @@
 		case <-ctx.Done():
 			wait.Stop()
 			if sent.Load() && method != http.MethodGet {
-				return nil, fault.Wrap(last, fault.Unclear, "", "send the same again: it may have been taken")
+				return nil, apierror.Wrap(last, apierror.Unclear, "", "send the same again: it may have been taken")
 			}
-			return nil, fault.Wrap(last, fault.Unavailable, "", "name agents that run, or give more time")
+			return nil, apierror.Wrap(last, apierror.Unavailable, "", "name agents that run, or give more time")
 		case <-wait.C:
 		}
 		pause = min(2*pause, lastPause)
@@ -171,16 +171,16 @@
 	if json.Unmarshal(answer, &said) != nil || said.Error == "" {
 		said.Error = http.StatusText(status)
 	}
-	kind, remedy := fault.Unavailable, ""
+	kind, remedy := apierror.Unavailable, ""
 	switch status {
 	case http.StatusBadRequest, http.StatusUnprocessableEntity:
-		kind, clear = fault.Invalid, true
+		kind, clear = apierror.Invalid, true
 	case http.StatusConflict, http.StatusPreconditionFailed:
-		kind, clear, remedy = fault.Conflict, true, "read the configuration anew, then decide"
+		kind, clear, remedy = apierror.Conflict, true, "read the configuration anew, then decide"
 	case http.StatusRequestEntityTooLarge:
-		kind, clear = fault.TooLarge, true
+		kind, clear = apierror.TooLarge, true
 	case http.StatusNotFound:
-		kind = fault.NotFound
+		kind = apierror.NotFound
 	}
-	return clear, fault.New(kind, "", remedy, "%s (%d)", said.Error, status)
+	return clear, apierror.New(kind, "", remedy, "%s (%d)", said.Error, status)
 }
--- a/internal/controlapi/ctl_test.go
+++ b/internal/controlapi/ctl_test.go
@@ -19,8 +19,8 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/conf"
-	"chalkdoor.example/chalkdoor/internal/fault"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -341,8 +341,8 @@
 	status, _, answer = ask(t, addr, "GET", "/chalkdoor/ops/secrets", "", nil)
 	assert.Equal(t, 404, status)
 	assert.Contains(t, answer, "members")
-	for kind, want := range map[fault.Kind]int{fault.Internal: 503, fault.Unavailable: 503, fault.Unclear: 503, fault.Invalid: 400, fault.NotFound: 404, fault.Conflict: 412, fault.TooLarge: 413} {
-		p.err = fault.New(kind, "k", "do that", "wrong")
+	for kind, want := range map[apierror.Kind]int{apierror.Internal: 503, apierror.Unavailable: 503, apierror.Unclear: 503, apierror.Invalid: 400, apierror.NotFound: 404, apierror.Conflict: 412, apierror.TooLarge: 413} {
+		p.err = apierror.New(kind, "k", "do that", "wrong")
 		for _, path := range []string{"/chalkdoor/config", "/chalkdoor/ops/view"} {
 			status, _, answer = ask(t, addr, "GET", path, "", nil)
 			assert.Equal(t, want, status)
@@ -499,15 +499,15 @@
 }
 
 func TestClientEndsOnClearAnswers(t *testing.T) {
-	for n, kind := range map[int]fault.Kind{400: fault.Invalid, 422: fault.Invalid, 409: fault.Conflict, 412: fault.Conflict, 413: fault.TooLarge} {
+	for n, kind := range map[int]apierror.Kind{400: apierror.Invalid, 422: apierror.Invalid, 409: apierror.Conflict, 412: apierror.Conflict, 413: apierror.TooLarge} {
 		never := func(http.ResponseWriter, *http.Request) { t.Error("asked another agent after a clear answer") }
 		_, err := agents(t, status(n), never).Submit(t.Context(), false, 0, []byte(`{}`))
-		assert.Equal(t, kind, fault.KindOf(err))
+		assert.Equal(t, kind, apierror.KindOf(err))
 		assert.ErrorContains(t, err, fmt.Sprintf("no %d", n))
 	}
 	tries := 0
 	_, _, err := agents(t, func(w http.ResponseWriter, r *http.Request) { tries++; status(404)(w, r) }).Config(t.Context())
-	assert.Equal(t, fault.NotFound, fault.KindOf(err))
+	assert.Equal(t, apierror.NotFound, apierror.KindOf(err))
 	assert.Equal(t, 3, tries)
 }
 
@@ -536,7 +536,7 @@
 	c := agents(t, func(w http.ResponseWriter, r *http.Request) { status(503)(w, r); cancel() })
 	c.Pause = time.Hour
 	_, err := c.Submit(ctx, false, 0, []byte(`{}`))
-	assert.Equal(t, fault.Unclear, fault.KindOf(err))
+	assert.Equal(t, apierror.Unclear, apierror.KindOf(err))
 	assert.ErrorContains(t, err, "send the same again")
 
 	dead, err := net.Listen("tcp", "127.0.0.1:0")
@@ -547,7 +547,7 @@
 	c = NewClient([]string{dead.Addr().String()})
 	c.Pause = time.Millisecond
 	_, err = c.Submit(ctx, false, 0, []byte(`{}`))
-	assert.Equal(t, fault.Unavailable, fault.KindOf(err))
+	assert.Equal(t, apierror.Unavailable, apierror.KindOf(err))
 }
 
 func TestClientAndServerAgree(t *testing.T) {
@@ -565,12 +565,12 @@
 	require.NoError(t, err)
 	assert.Equal(t, int64(9), got)
 	_, err = c.Submit(t.Context(), true, 6, []byte(`{"revision":9}`))
-	assert.Equal(t, fault.Conflict, fault.KindOf(err))
+	assert.Equal(t, apierror.Conflict, apierror.KindOf(err))
 	view, err := c.Ops(t.Context(), "view")
 	require.NoError(t, err)
 	assert.Equal(t, `{"of":"view"}`, string(view))
 	_, err = c.Ops(t.Context(), "a/b")
-	assert.Equal(t, fault.NotFound, fault.KindOf(err))
+	assert.Equal(t, apierror.NotFound, apierror.KindOf(err))
 }
 
 func FuzzBeat(f *testing.F) {
@@ -578,7 +578,7 @@
 	f.Fuzz(func(t *testing.T, body []byte) {
 		b, err := parseBeat("i", body)
 		if err != nil {
-			require.Equal(t, fault.Invalid, fault.KindOf(err))
+			require.Equal(t, apierror.Invalid, apierror.KindOf(err))
 			return
 		}
 		require.NotEmpty(t, b.Service)
--- a/internal/controlapi/server.go
+++ b/internal/controlapi/server.go
@@ -19,7 +19,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/net/netutil"
 
-	"chalkdoor.example/chalkdoor/internal/fault"
+	"chalkdoor.example/chalkdoor/internal/apierror"
 )
 
 const (
@@ -172,14 +172,14 @@
 // fail answers an error by its kind.
 func (c *call) fail(err error) {
 	status := http.StatusServiceUnavailable
-	switch fault.KindOf(err) {
-	case fault.Invalid:
+	switch apierror.KindOf(err) {
+	case apierror.Invalid:
 		status = http.StatusBadRequest
-	case fault.NotFound:
+	case apierror.NotFound:
 		status = http.StatusNotFound
-	case fault.Conflict:
+	case apierror.Conflict:
 		status = http.StatusPreconditionFailed
-	case fault.TooLarge:
+	case apierror.TooLarge:
 		status = http.StatusRequestEntityTooLarge
 	}
 	c.refuse(status, err.Error())
@@ -239,10 +239,10 @@
 func parseBeat(id string, body []byte) (*Beat, error) {
 	b := &Beat{}
 	if err := json.Unmarshal(body, b); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "", "send one JSON object with the fields of a beat")
+		return nil, apierror.Wrap(err, apierror.Invalid, "", "send one JSON object with the fields of a beat")
 	}
 	bad := func(key, remedy string) error {
-		return fault.New(fault.Invalid, key, remedy, "the beat can't be listed")
+		return apierror.New(apierror.Invalid, key, remedy, "the beat can't be listed")
 	}
 	addr, err := netip.ParseAddrPort(b.Addr)
 	switch b.ID = id; {
@@ -318,7 +318,7 @@
 			return n, nil
 		}
 	}
-	return 0, fault.New(fault.Invalid, "If-Match", "give the current revision, 0 for the first configuration",
+	return 0, apierror.New(apierror.Invalid, "If-Match", "give the current revision, 0 for the first configuration",
 		"there has to be one version")
 }
 
--- a/internal/daemon/plane.go
+++ b/internal/daemon/plane.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"time"
 
+	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/chain"
 	"chalkdoor.example/chalkdoor/internal/controlapi"
-	"chalkdoor.example/chalkdoor/internal/fault"
 	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
@@ -24,7 +24,7 @@
 		in.Models = append(in.Models, registry.Model{Name: m.Name, Revision: m.Revision})
 	}
 	if !p.d.hub.Beat(ctx, in) {
-		return controlapi.BeatReply{}, fault.New(fault.Unavailable, "beat", "call another agent", "no hub has taken it")
+		return controlapi.BeatReply{}, apierror.New(apierror.Unavailable, "beat", "call another agent", "no hub has taken it")
 	}
 	return controlapi.BeatReply{Target: p.target()}, nil
 }
@@ -43,7 +43,7 @@
 
 func (p *plane) Leave(ctx context.Context, id string, _ uint64) error {
 	if !p.d.hub.Leave(ctx, id) {
-		return fault.New(fault.Unavailable, "leave", "call another agent", "no hub has taken it")
+		return apierror.New(apierror.Unavailable, "leave", "call another agent", "no hub has taken it")
 	}
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,7 +18,7 @@
 	"github.com/knadh/koanf/providers/rawbytes"
 	"github.com/knadh/koanf/v2"
 
-	"chalkdoor.example/chalkdoor/internal/fault"
+	"chalkdoor.example/chalkdoor/internal/apierror"
 )
 
 // EnvFile names the variable with the path of the settings file, DefaultFile is used without it.
@@ -102,15 +102,15 @@
 func Load(path string) (*Settings, error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "settings file", "set "+EnvFile+" to its path")
+		return nil, apierror.Wrap(err, apierror.Unavailable, "settings file", "set "+EnvFile+" to its path")
 	}
 	defer f.Close()
 	raw, err := io.ReadAll(io.LimitReader(f, maxFile+1))
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "settings file", "set "+EnvFile+" to its path")
+		return nil, apierror.Wrap(err, apierror.Unavailable, "settings file", "set "+EnvFile+" to its path")
 	}
 	if len(raw) > maxFile {
-		return nil, fault.New(fault.TooLarge, path, "name the settings file", "a settings file has at most %d bytes", maxFile)
+		return nil, apierror.New(apierror.TooLarge, path, "name the settings file", "a settings file has at most %d bytes", maxFile)
 	}
 	return Parse(raw)
 }
@@ -119,11 +119,11 @@
 func Parse(raw []byte) (*Settings, error) {
 	k := koanf.New("\x00") // zone names may hold dots
 	if err := k.Load(rawbytes.Provider(raw), toml.Parser()); err != nil {
-		return nil, fault.Wrap(errors.Wrap(err, "it is no TOML"), fault.Invalid, "settings file", "write it anew")
+		return nil, apierror.Wrap(errors.Wrap(err, "it is no TOML"), apierror.Invalid, "settings file", "write it anew")
 	}
 	s := &Settings{Digest: sha256.Sum256(raw)}
 	if err := k.UnmarshalWithConf("", s, koanf.UnmarshalConf{Tag: "koanf"}); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "settings file", "give each key a value of its type")
+		return nil, apierror.Wrap(err, apierror.Invalid, "settings file", "give each key a value of its type")
 	}
 	if err := s.check(); err != nil {
 		return nil, err
@@ -133,7 +133,7 @@
 
 func (s *Settings) check() error {
 	bad := func(key, remedy string) error {
-		return fault.New(fault.Invalid, key, remedy, "the setting can't be used")
+		return apierror.New(apierror.Invalid, key, remedy, "the setting can't be used")
 	}
 	addr := func(a string) bool { ap, err := netip.ParseAddrPort(a); return err == nil && ap.Port() > 0 }
 	ip, err := netip.ParseAddr(s.IP)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"chalkdoor.example/chalkdoor/internal/fault"
+	"chalkdoor.example/chalkdoor/internal/apierror"
 )
 
 // example has every key that is known, and some that are not.
@@ -191,11 +191,11 @@
 			text = with(c.in, c.value)
 		}
 		s, err := Parse([]byte(text))
-		var f *fault.Error
+		var f *apierror.Error
 		if assert.ErrorAs(t, err, &f, "%s = %s", c.in, c.value) {
 			assert.Equal(t, c.key, f.Key, "%s = %s", c.in, c.value)
 			assert.NotEmpty(t, f.Remedy)
-			assert.Equal(t, fault.Invalid, fault.KindOf(err))
+			assert.Equal(t, apierror.Invalid, apierror.KindOf(err))
 			assert.Nil(t, s)
 		}
 	}
@@ -207,7 +207,7 @@
 		"seed-nodes": `[["10.0.0.1:80"]]`, "retry-ratio": `"some"`, "memory-mb": "[1,2]", "node-name": "{x = 1}"} {
 		_, err := Parse([]byte(with(key, value)))
 		assert.ErrorContains(t, err, key)
-		assert.Equal(t, fault.Invalid, fault.KindOf(err))
+		assert.Equal(t, apierror.Invalid, apierror.KindOf(err))
 	}
 	for _, text := range []string{"node-name = ", "\x00", "[zones", "a = 1\na = 2", "zones = 1\n" + example} {
 		_, err := Parse([]byte(text))
@@ -235,7 +235,7 @@
 	require.NoError(t, os.WriteFile(path, []byte(example+"#"+strings.Repeat("x", maxFile)), 0o600))
 	_, err = Load(path)
 	require.ErrorContains(t, err, "at most")
-	assert.Equal(t, fault.TooLarge, fault.KindOf(err))
+	assert.Equal(t, apierror.TooLarge, apierror.KindOf(err))
 	t.Setenv(EnvFile, "")
 	assert.Equal(t, DefaultFile, Path())
 }
--- a/internal/rollout/record_test.go
+++ b/internal/rollout/record_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"chalkdoor.example/chalkdoor/internal/fault"
+	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
@@ -38,11 +38,11 @@
 	other := *spec(t)
 	other.To = 3
 	_, err = r.Start(&other)
-	assert.Equal(t, fault.Conflict, fault.KindOf(err))
+	assert.Equal(t, apierror.Conflict, apierror.KindOf(err))
 	assert.ErrorContains(t, err, "rollout 1 of tenant-llm to 2 is under way (forward); wait for its end, or abort it")
 
 	_, err = r.Pause(2, "")
-	assert.Equal(t, fault.NotFound, fault.KindOf(err))
+	assert.Equal(t, apierror.NotFound, apierror.KindOf(err))
 	p, err := r.Pause(1, "lunch")
 	require.NoError(t, err)
 	assert.True(t, p.Paused)
@@ -62,12 +62,12 @@
 	require.NoError(t, err)
 	assert.Same(t, b, twice)
 	_, err = b.Start(spec(t))
-	assert.Equal(t, fault.Conflict, fault.KindOf(err))
+	assert.Equal(t, apierror.Conflict, apierror.KindOf(err))
 
 	e := b.change()
 	e.end(TurnedBack)
 	_, err = e.Abort(1, "")
-	assert.Equal(t, fault.NotFound, fault.KindOf(err))
+	assert.Equal(t, apierror.NotFound, apierror.KindOf(err))
 	n, err := e.Start(spec(t))
 	require.NoError(t, err)
 	assert.EqualValues(t, 2, n.Number)
@@ -94,7 +94,7 @@
 	require.True(t, put(a))
 	require.False(t, put(b))
 	_, err = kept.Start(&two)
-	assert.Equal(t, fault.Conflict, fault.KindOf(err))
+	assert.Equal(t, apierror.Conflict, apierror.KindOf(err))
 }
 
 func TestANewHolderFencesTheOldOne(t *testing.T) {
@@ -109,7 +109,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, late.Version, b.Version, "one of them is kept")
 	_, err = b.Seize(1, "a")
-	assert.Equal(t, fault.Conflict, fault.KindOf(err))
+	assert.Equal(t, apierror.Conflict, apierror.KindOf(err))
 }
 
 func TestPartsOfARecordAreOfOne(t *testing.T) {
@@ -171,9 +171,9 @@
 	assert.False(t, back.full("s850"))
 
 	_, err = Decode(raw[:len(raw)/2])
-	assert.Equal(t, fault.Damaged, fault.KindOf(err))
+	assert.Equal(t, apierror.Damaged, apierror.KindOf(err))
 	_, err = Decode([]byte{99, 1})
-	assert.Equal(t, fault.Damaged, fault.KindOf(err))
+	assert.Equal(t, apierror.Damaged, apierror.KindOf(err))
 	none, err := Decode(nil)
 	require.NoError(t, err)
 	assert.Equal(t, &Record{}, none)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -35,8 +35,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/engine"
-	"chalkdoor.example/chalkdoor/internal/fault"
 )
 
 const (
@@ -213,7 +213,7 @@
 // Check refuses a record that nobody can have written.
 func (r *Record) Check() error {
 	bad := func(format string, args ...any) error {
-		return fault.New(fault.Damaged, "rollout", "read it from another machine of the core", "record %d: "+format, append([]any{r.Version}, args...)...)
+		return apierror.New(apierror.Damaged, "rollout", "read it from another machine of the core", "record %d: "+format, append([]any{r.Version}, args...)...)
 	}
 	switch {
 	case r.Phase > TurnedBack || (r.Number == 0) != (r.Phase == Idle):
@@ -246,7 +246,7 @@
 func (r *Record) Seize(term uint64, holder string) (*Record, error) {
 	switch {
 	case r.Term > term:
-		return nil, fault.New(fault.Conflict, "term", "hold the duty again first", "term %d is over, %d has begun", term, r.Term)
+		return nil, apierror.New(apierror.Conflict, "term", "hold the duty again first", "term %d is over, %d has begun", term, r.Term)
 	case r.Term == term && r.Holder == holder:
 		return r, nil
 	}
@@ -276,18 +276,18 @@
 // Join puts the parts together. ok is false while they are of two records: the older one holds on.
 func Join(moving, rest []byte) (r *Record, ok bool, err error) {
 	if len(moving) == 0 || moving[0] != recordFormat || len(moving)+len(rest) > MaxRecord {
-		return nil, false, fault.New(fault.Damaged, "rollout", "run the same version on all machines", "a record of %d and %d bytes", len(moving), len(rest))
+		return nil, false, apierror.New(apierror.Damaged, "rollout", "run the same version on all machines", "a record of %d and %d bytes", len(moving), len(rest))
 	}
 	r = &Record{}
 	if err := msgpack.Unmarshal(moving[1:], r); err != nil {
-		return nil, false, fault.Wrap(err, fault.Damaged, "rollout", "run the same version on all machines")
+		return nil, false, apierror.Wrap(err, apierror.Damaged, "rollout", "run the same version on all machines")
 	}
 	if len(r.Full) != 1 || r.Full[0] != sum(rest) {
 		return nil, false, nil
 	}
 	var s settled
 	if err := msgpack.Unmarshal(rest, &s); err != nil {
-		return nil, false, fault.Wrap(err, fault.Damaged, "rollout", "run the same version on all machines")
+		return nil, false, apierror.Wrap(err, apierror.Damaged, "rollout", "run the same version on all machines")
 	}
 	r.Full, r.Past = s.Full, s.Past
 	return r, true, r.Check()
@@ -299,7 +299,7 @@
 func (r *Record) Encode() ([]byte, error) {
 	raw, err := msgpack.Marshal(r)
 	if err == nil && len(raw) >= MaxRecord {
-		err = fault.New(fault.TooLarge, "rollout", "abort it, and move fewer servers of a service at a time", "the record has %d bytes, at most %d are kept", len(raw), MaxRecord)
+		err = apierror.New(apierror.TooLarge, "rollout", "abort it, and move fewer servers of a service at a time", "the record has %d bytes, at most %d are kept", len(raw), MaxRecord)
 	}
 	return append([]byte{recordFormat}, raw...), err
 }
@@ -311,10 +311,10 @@
 		return r, nil
 	}
 	if raw[0] != recordFormat || len(raw) > MaxRecord {
-		return nil, fault.New(fault.Damaged, "rollout", "run the version that wrote it", "format %d, %d bytes", raw[0], len(raw))
+		return nil, apierror.New(apierror.Damaged, "rollout", "run the version that wrote it", "format %d, %d bytes", raw[0], len(raw))
 	}
 	if err := msgpack.Unmarshal(raw[1:], r); err != nil {
-		return nil, fault.Wrap(err, fault.Damaged, "rollout", "read it from another machine of the core")
+		return nil, apierror.Wrap(err, apierror.Damaged, "rollout", "read it from another machine of the core")
 	}
 	return r, r.Check()
 }
@@ -329,7 +329,7 @@
 		if reflect.DeepEqual(r.Spec, *s) && r.Phase == Forward {
 			return r, nil
 		}
-		return nil, fault.New(fault.Conflict, "rollout", "wait for its end, or abort it and wait for that",
+		return nil, apierror.New(apierror.Conflict, "rollout", "wait for its end, or abort it and wait for that",
 			"rollout %d of %s to %d is under way (%s)", r.Number, r.Spec.Service, r.Spec.To, r.Phase)
 	}
 	c := r.change()
@@ -376,7 +376,7 @@
 	if r.Active() && r.Number == number {
 		return nil
 	}
-	return fault.New(fault.NotFound, "number", "see edgectl rollout status", "rollout %d is not under way; the newest is %d, %s", number, r.Number, r.Phase)
+	return apierror.New(apierror.NotFound, "number", "see edgectl rollout status", "rollout %d is not under way; the newest is %d, %s", number, r.Number, r.Phase)
 }
 
 // end closes a rollout.
--- a/internal/rollout/spec.go
+++ b/internal/rollout/spec.go
@@ -15,8 +15,8 @@
 	"github.com/knadh/koanf/providers/rawbytes"
 	"github.com/knadh/koanf/v2"
 
+	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/conf"
-	"chalkdoor.example/chalkdoor/internal/fault"
 )
 
 const (
@@ -100,7 +100,7 @@
 // which it is refused, each a fault of kind Invalid with its key and remedy.
 func Parse(raw []byte) (*Spec, error) {
 	if len(raw) > MaxSpec {
-		return nil, fault.New(fault.TooLarge, "", "shorten it", "the file has %d bytes, at most %d are taken", len(raw), MaxSpec)
+		return nil, apierror.New(apierror.TooLarge, "", "shorten it", "the file has %d bytes, at most %d are taken", len(raw), MaxSpec)
 	}
 	var parser koanf.Parser = toml.Parser()
 	if t := strings.TrimSpace(string(raw)); strings.HasPrefix(t, "{") {
@@ -108,16 +108,16 @@
 	}
 	k := koanf.New("\x00") // names of routes may hold dots
 	if err := k.Load(rawbytes.Provider(raw), parser); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "", "write the file as TOML or JSON")
+		return nil, apierror.Wrap(err, apierror.Invalid, "", "write the file as TOML or JSON")
 	}
 	s, all := defaults(), k.Raw()
 	reasons := sift(reflect.TypeOf(s), all, "")
 	sound := koanf.New("\x00")
 	if err := sound.Load(confmap(all), nil); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "", "write the file as the example is")
+		return nil, apierror.Wrap(err, apierror.Invalid, "", "write the file as the example is")
 	}
 	if err := sound.UnmarshalWithConf("", &s, koanf.UnmarshalConf{Tag: "koanf"}); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "", "write the file as the example is")
+		return nil, apierror.Wrap(err, apierror.Invalid, "", "write the file as the example is")
 	}
 	told := map[string]bool{}
 	for _, r := range reasons {
@@ -165,7 +165,7 @@
 		at := strings.TrimPrefix(outer+"."+key, ".")
 		field, ok := known[key]
 		if !ok {
-			reasons = append(reasons, fault.New(fault.Invalid, at, "use one of "+strings.Join(names, ", "), "there is no such key"))
+			reasons = append(reasons, apierror.New(apierror.Invalid, at, "use one of "+strings.Join(names, ", "), "there is no such key"))
 			delete(m, key)
 			continue
 		}
@@ -193,11 +193,11 @@
 }
 
 func mistyped(key, want string, val any) error {
-	return fault.New(fault.Invalid, key, "give "+want, "it is %.60s", fmt.Sprint(val))
+	return apierror.New(apierror.Invalid, key, "give "+want, "it is %.60s", fmt.Sprint(val))
 }
 
 func keyOf(err error) string {
-	var f *fault.Error
+	var f *apierror.Error
 	if errors.As(err, &f) {
 		return f.Key
 	}
@@ -243,7 +243,7 @@
 func (s *Spec) reasons() (out []error) {
 	bad := func(when bool, key, remedy, format string, args ...any) {
 		if when {
-			out = append(out, fault.New(fault.Invalid, key, remedy, format, args...))
+			out = append(out, apierror.New(apierror.Invalid, key, remedy, format, args...))
 		}
 	}
 	number := func(key string, x, least, most float64) {
@@ -306,19 +306,19 @@
 // Fits tells what of a spec the operator's configuration contradicts; nil where nothing does.
 func (s *Spec) Fits(doc *conf.Doc) error {
 	if doc == nil {
-		return fault.New(fault.Invalid, "service", "put a configuration first", "there is no configuration")
+		return apierror.New(apierror.Invalid, "service", "put a configuration first", "there is no configuration")
 	}
 	svc := doc.Services[s.Service]
 	if svc == nil {
-		return fault.New(fault.Invalid, "service", "name a service of the configuration", "there is no %q in revision %d", s.Service, doc.Revision)
+		return apierror.New(apierror.Invalid, "service", "name a service of the configuration", "there is no %q in revision %d", s.Service, doc.Revision)
 	}
 	var reasons []error
 	if svc.Engine != nil && len(svc.Engine.Models) > 0 && !slices.Contains(svc.Engine.Models, s.Model) {
-		reasons = append(reasons, fault.New(fault.Invalid, "model", "name one of "+strings.Join(svc.Engine.Models, ", "), "the service has no %q", s.Model))
+		reasons = append(reasons, apierror.New(apierror.Invalid, "model", "name one of "+strings.Join(svc.Engine.Models, ", "), "the service has no %q", s.Model))
 	}
 	for name := range s.Routes {
 		if !slices.ContainsFunc(doc.Routes, func(r *conf.Route) bool { return r.Name == name }) {
-			reasons = append(reasons, fault.New(fault.Invalid, "routes."+name, "name a route of the configuration", "there is none of that name"))
+			reasons = append(reasons, apierror.New(apierror.Invalid, "routes."+name, "name a route of the configuration", "there is none of that name"))
 		}
 	}
 	slices.SortFunc(reasons, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
--- a/internal/rollout/spec_test.go
+++ b/internal/rollout/spec_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/conf"
-	"chalkdoor.example/chalkdoor/internal/fault"
 )
 
 const specText = `
@@ -70,7 +70,7 @@
 c = 1
 `))
 	require.Error(t, err)
-	assert.Equal(t, fault.Invalid, fault.KindOf(err))
+	assert.Equal(t, apierror.Invalid, apierror.KindOf(err))
 	text := err.Error()
 	for _, want := range []string{
 		"service: it is 7; give a text in quotes",
@@ -96,11 +96,11 @@
 	}
 
 	_, err = Parse([]byte("service = "))
-	assert.Equal(t, fault.Invalid, fault.KindOf(err))
+	assert.Equal(t, apierror.Invalid, apierror.KindOf(err))
 	_, err = Parse([]byte(`{"service": [`))
-	assert.Equal(t, fault.Invalid, fault.KindOf(err))
+	assert.Equal(t, apierror.Invalid, apierror.KindOf(err))
 	_, err = Parse(make([]byte, MaxSpec+1))
-	assert.Equal(t, fault.TooLarge, fault.KindOf(err))
+	assert.Equal(t, apierror.TooLarge, apierror.KindOf(err))
 	_, err = Parse([]byte(strings.Replace(specText, "[1, 2]", "[1]", 1)))
 	assert.ErrorContains(t, err, "routes.r.dossier.versions: the route allows no server that the rollout leaves")
 }
@@ -127,7 +127,7 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		if s, err := Parse(raw); err == nil {
 			require.Empty(t, s.reasons())
-		} else if k := fault.KindOf(err); k != fault.Invalid && k != fault.TooLarge {
+		} else if k := apierror.KindOf(err); k != apierror.Invalid && k != apierror.TooLarge {
 			t.Errorf("kind %v of %v", k, err)
 		}
 	})
--- a/internal/rollout/watch.go
+++ b/internal/rollout/watch.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"chalkdoor.example/chalkdoor/internal/fault"
+	"chalkdoor.example/chalkdoor/internal/apierror"
 )
 
 // Report is what an agent tells the holder of the duty while a rollout is under way: once a second,
@@ -22,7 +22,7 @@
 // Check refuses what no agent can have sent.
 func (r *Report) Check() error {
 	if r.Source == "" || len(r.Source) > maxName || len(r.Region) > maxName || len(r.Held) > maxMoving || len(r.Seen.Cells) > maxCells || len(r.Seen.Own) > maxMoving {
-		return fault.New(fault.Invalid, "report", "run the same version on all machines", "a report of %.40q is out of bounds", r.Source)
+		return apierror.New(apierror.Invalid, "report", "run the same version on all machines", "a report of %.40q is out of bounds", r.Source)
 	}
 	return nil
 }
@@ -68,7 +68,7 @@
 	a := w.agents[r.Source]
 	if a == nil {
 		if len(w.agents) >= maxAgents {
-			return fault.New(fault.TooLarge, "report", "ask the developers for more agents", "%d agents are known", len(w.agents))
+			return apierror.New(apierror.TooLarge, "report", "ask the developers for more agents", "%d agents are known", len(w.agents))
 		}
 		a = &reported{Agent: Agent{Source: r.Source}}
 		w.agents[r.Source] = a
