Rename package event to logevent

Cause: the name was of the earlier house style; logevent is the field's term. Measured: go build and go vet of the tree: ok.

--- a/cmd/edged/main.go
+++ b/cmd/edged/main.go
@@ -15,7 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"chalkdoor.example/chalkdoor/internal/daemon"
-	"chalkdoor.example/chalkdoor/internal/event"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/node"
 )
 
@@ -68,7 +68,7 @@
 type eventsCmd struct{}
 
 func (eventsCmd) Run() error {
-	fmt.Print(event.Page())
+	fmt.Print(logevent.Page())
 	return nil
 }
 
@@ -99,7 +99,7 @@
 	_ = fs.Set("v", fmt.Sprint(c.Verbosity))
 	defer klog.Flush()
 	if err := k.Run(); err != nil {
-		event.NotStarted.Error(err)
+		logevent.NotStarted.Error(err)
 		klog.Flush()
 		os.Exit(1)
 	}
--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -20,7 +20,7 @@
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/chain"
-	"chalkdoor.example/chalkdoor/internal/event"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/rpc"
 	"chalkdoor.example/chalkdoor/internal/store"
 	"chalkdoor.example/chalkdoor/internal/view"
@@ -183,9 +183,9 @@
 		return nil, err
 	}
 	if rep.Damaged {
-		event.DiskDamaged.Log("why", rep.Why)
+		logevent.DiskDamaged.Log("why", rep.Why)
 	} else if rep.Torn > 0 {
-		event.DiskTorn.Log("bytes", rep.Torn)
+		logevent.DiskTorn.Log("bytes", rep.Torn)
 	}
 	return st, nil
 }
@@ -195,7 +195,7 @@
 	if !ok {
 		id = []byte(random(8))
 		if err := m.store.Put(keyID, id); err != nil {
-			event.DiskWaits.Error(err)
+			logevent.DiskWaits.Error(err)
 		} else {
 			ok = true
 		}
@@ -358,7 +358,7 @@
 	}
 	m.mu.Unlock()
 	if !told {
-		event.ViewKeep.Error(err, "view", v.Number)
+		logevent.ViewKeep.Error(err, "view", v.Number)
 	}
 }
 
@@ -392,7 +392,7 @@
 	close(m.inView)
 	m.inView = make(chan struct{})
 	m.notifyLocked()
-	event.ViewLearned.Log("view", v.Number, "chain", names(m.view))
+	logevent.ViewLearned.Log("view", v.Number, "chain", names(m.view))
 	m.reportShortfallLocked()
 	return nil
 }
--- a/internal/controlplane/ping.go
+++ b/internal/controlplane/ping.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"chalkdoor.example/chalkdoor/internal/event"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/view"
 	"github.com/go-faster/errors"
 )
@@ -248,7 +248,7 @@
 	}
 	odd := m.committed.Seq == a.Seq && theirs > mine
 	m.mu.Unlock()
-	event.ValuesDiffer.Log("seq", a.Seq, "peer", a.Peer.Addr, "hold-this", mine, "hold-that", theirs, "mended", odd)
+	logevent.ValuesDiffer.Log("seq", a.Seq, "peer", a.Peer.Addr, "hold-this", mine, "hold-that", theirs, "mended", odd)
 	if !odd {
 		return
 	}
@@ -402,7 +402,7 @@
 			m.named = m.named || err == nil
 			m.mu.Unlock()
 			if err != nil {
-				event.DiskWrite.Error(err)
+				logevent.DiskWrite.Error(err)
 			}
 		})
 	case m.o.Dir != "" && now.Sub(m.lastSweep) >= sweepEvery:
@@ -413,7 +413,7 @@
 			m.probing = false
 			m.mu.Unlock()
 			if !whole || err != nil {
-				event.DiskRewritten.Error(err)
+				logevent.DiskRewritten.Error(err)
 			}
 		})
 	}
--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/chain"
-	"chalkdoor.example/chalkdoor/internal/event"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/view"
 )
 
@@ -110,7 +110,7 @@
 	}
 	m.shortfall = short
 	if !short.None() {
-		event.ToleranceShort.Log("view", m.view.Number, "voters", len(m.view.Voters), "losses", short.String())
+		logevent.ToleranceShort.Log("view", m.view.Number, "voters", len(m.view.Voters), "losses", short.String())
 	}
 }
 
@@ -237,13 +237,13 @@
 		out := m.decide(ctx, p)
 		switch out {
 		case view.Decided:
-			event.ViewStep.Log("view", p.View.Number, "why", step.Why)
+			logevent.ViewStep.Log("view", p.View.Number, "why", step.Why)
 			m.teach(p.View, base.Voters)
 			fallthrough
 		case view.Overtaken:
 			m.keepView(ctx, &p.View)
 		default:
-			event.ViewOpen.Log("view", instance, "outcome", out, "why", step.Why)
+			logevent.ViewOpen.Log("view", instance, "outcome", out, "why", step.Why)
 		}
 		m.mu.Lock()
 		m.proposing = false
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,9 +16,9 @@
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/controlapi"
 	"chalkdoor.example/chalkdoor/internal/controlplane"
-	"chalkdoor.example/chalkdoor/internal/event"
 	"chalkdoor.example/chalkdoor/internal/gateway"
 	"chalkdoor.example/chalkdoor/internal/hub"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/node"
 	"chalkdoor.example/chalkdoor/internal/rpc"
 	"chalkdoor.example/chalkdoor/internal/view"
@@ -51,11 +51,11 @@
 	}
 	for _, c := range s.Contracts {
 		if !knownContracts[c] {
-			event.UnknownContract.Log("contract", c)
+			logevent.UnknownContract.Log("contract", c)
 		}
 	}
 	if s.Discovery != "self_register" || s.Entry != "vip" {
-		event.UnknownDiscovery.Log("discovery", s.Discovery, "entry", s.Entry)
+		logevent.UnknownDiscovery.Log("discovery", s.Discovery, "entry", s.Entry)
 	}
 	// Peaks of memory are paid for, and over the limit the process is killed.
 	debug.SetMemoryLimit(s.Limits.MemoryMB << 20 * 6 / 10)
@@ -171,14 +171,14 @@
 		}
 		s, err := node.Load(d.path)
 		if err != nil {
-			event.SettingsBad.Error(err)
+			logevent.SettingsBad.Error(err)
 			continue
 		}
 		if old := d.set.Load(); s.Digest != old.Digest || told {
 			next := *old
 			next.Seeds, next.Digest = s.Seeds, s.Digest
 			d.set.Store(&next)
-			event.SettingsRead.Log("seeds", s.Seeds)
+			logevent.SettingsRead.Log("seeds", s.Seeds)
 		}
 	}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"chalkdoor.example/chalkdoor/internal/event"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/node"
 	"chalkdoor.example/chalkdoor/internal/rpc"
 )
@@ -65,10 +65,10 @@
 	}
 	parts := &tasks{errs: make(chan error, maxFailures)}
 	d.start(work, open, parts, reload)
-	event.Started.Log("node", s.Name, "zone", s.Zone, "disk", s.Disk(), "first", s.FirstStart)
+	logevent.Started.Log("node", s.Name, "zone", s.Zone, "disk", s.Disk(), "first", s.FirstStart)
 	select {
 	case err = <-parts.errs:
-		event.PartFailed.Error(err)
+		logevent.PartFailed.Error(err)
 		d.abort(ctx)
 	case <-ctx.Done():
 		d.end(s)
@@ -171,7 +171,7 @@
 // end serves to its end what is held, and tells the others.
 func (d *Daemon) end(s *node.Settings) {
 	d.ending.Store(true)
-	event.Ending.Log("node", s.Name)
+	logevent.Ending.Log("node", s.Name)
 	by := time.Now().Add(s.Grace() - lastWords)
 	ctx, cancel := context.WithDeadline(context.Background(), by)
 	defer cancel()
@@ -184,5 +184,5 @@
 	bye, done := context.WithTimeout(context.Background(), lastWords/2)
 	defer done()
 	d.hub.Bye(bye)
-	event.Ended.Log("node", s.Name)
+	logevent.Ended.Log("node", s.Name)
 }
--- a/internal/gateway/door.go
+++ b/internal/gateway/door.go
@@ -20,9 +20,9 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/semaphore"
 
-	logged "chalkdoor.example/chalkdoor/internal/event"
 	"chalkdoor.example/chalkdoor/internal/h1"
 	"chalkdoor.example/chalkdoor/internal/hub"
+	logged "chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/node"
 	"chalkdoor.example/chalkdoor/internal/pick"
 	"chalkdoor.example/chalkdoor/internal/retrybudget"
--- a/internal/hub/config.go
+++ b/internal/hub/config.go
@@ -6,8 +6,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"chalkdoor.example/chalkdoor/internal/conf"
-	"chalkdoor.example/chalkdoor/internal/event"
 	"chalkdoor.example/chalkdoor/internal/feed"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 )
 
 // Config is the newest committed configuration.
@@ -23,11 +23,11 @@
 	}
 	doc, err := conf.Parse(cfg.Raw)
 	if err != nil {
-		event.ConfigBad.Error(err, "seq", cfg.Seq)
+		logevent.ConfigBad.Error(err, "seq", cfg.Seq)
 		return
 	}
 	h.seq, h.doc = cfg.Seq, doc
-	event.ConfigInForce.Log("seq", cfg.Seq, "revision", doc.Revision)
+	logevent.ConfigInForce.Log("seq", cfg.Seq, "revision", doc.Revision)
 }
 
 // Commit takes a configuration that the core has committed. Older ones are passed over.
@@ -46,5 +46,5 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.newest = true
-	event.NewestRead.Log("after", h.now()-time.Second)
+	logevent.NewestRead.Log("after", h.now()-time.Second)
 }
--- a/internal/hub/dial.go
+++ b/internal/hub/dial.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"chalkdoor.example/chalkdoor/internal/event"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/rpc"
 )
 
@@ -75,7 +75,7 @@
 	if m.Hello.check() != nil {
 		return
 	}
-	event.SessionBegun.Log("peer", addr)
+	logevent.SessionBegun.Log("peer", addr)
 	err = h.session(ctx, st, m.Hello, addr, mine, m)
-	event.SessionOver.Log("peer", addr, "err", err)
+	logevent.SessionOver.Log("peer", addr, "err", err)
 }
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -16,9 +16,9 @@
 
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/ev"
-	"chalkdoor.example/chalkdoor/internal/event"
 	"chalkdoor.example/chalkdoor/internal/feed"
 	"chalkdoor.example/chalkdoor/internal/lease"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/pick"
 	"chalkdoor.example/chalkdoor/internal/registry"
 	"chalkdoor.example/chalkdoor/internal/rpc"
@@ -275,7 +275,7 @@
 	}
 	tell, untell := h.table.Tick(now)
 	for _, in := range tell {
-		event.ServerSilent.Log("id", in.ID)
+		logevent.ServerSilent.Log("id", in.ID)
 		h.announce(instPrefix+in.ID, encode(in))
 	}
 	for _, id := range untell {
@@ -297,7 +297,7 @@
 	if core && linked && !h.hasAll() && h.newest && (now-h.linked > aloneFor && !h.awaitingDeltas() || h.alone(hubs)) {
 		// Nobody who could know more has shown up: the whole core has just started, or joined again.
 		if !h.synced {
-			event.SyncedAlone.Log("config", h.seq, "linked", now-h.linked)
+			logevent.SyncedAlone.Log("config", h.seq, "linked", now-h.linked)
 		}
 		h.synced, h.behind = true, false
 		h.wake()
--- a/internal/hub/members.go
+++ b/internal/hub/members.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"chalkdoor.example/chalkdoor/internal/event"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 )
 
 // Member is what an agent tells of itself.
@@ -99,7 +99,7 @@
 }
 
 func (h *Hub) rebase() {
-	event.OwnLapsed.Log("old", h.set.Self())
+	logevent.OwnLapsed.Log("old", h.set.Self())
 	now, old := h.now(), h.set.Self()
 	h.set.Rebase(h.newSource())
 	h.leases.End(now, old)
@@ -132,7 +132,7 @@
 		if here[source] {
 			continue
 		}
-		event.Lapsed.Log("source", source)
+		logevent.Lapsed.Log("source", source)
 		if tells {
 			h.announceEnd(source)
 		}
--- a/internal/hub/servers.go
+++ b/internal/hub/servers.go
@@ -8,7 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"chalkdoor.example/chalkdoor/internal/event"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
@@ -36,7 +36,7 @@
 			h.announce(instPrefix+in.ID, encode(in))
 		}
 	}
-	event.Restored.Log("servers", len(s.Servers))
+	logevent.Restored.Log("servers", len(s.Servers))
 }
 
 // save keeps the list on disk as it changes, at most once in a while.
@@ -111,5 +111,5 @@
 
 // reportFull logs now and then that a server found no room.
 func (h *Hub) reportFull(id string) {
-	h.fullReports.Do(func() { event.ServersFull.Log("id", id) })
+	h.fullReports.Do(func() { logevent.ServersFull.Log("id", id) })
 }
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -8,8 +8,8 @@
 
 	"github.com/go-faster/errors"
 
-	"chalkdoor.example/chalkdoor/internal/event"
 	"chalkdoor.example/chalkdoor/internal/feed"
+	"chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/rpc"
 )
 
@@ -164,7 +164,7 @@
 	wg.Go(func() {
 		defer cancel()
 		if err := h.send(ctx, st, s); err != nil && ctx.Err() == nil {
-			event.SessionSending.Log("peer", peer, "err", err)
+			logevent.SessionSending.Log("peer", peer, "err", err)
 		}
 	})
 	for m := first; ; {
@@ -218,7 +218,7 @@
 	h.behind = false // a message says Full only after all that its sender has: see send
 	if !h.synced {
 		h.synced = true
-		event.Synced.Log("peer", s.peer, "config", h.seq)
+		logevent.Synced.Log("peer", s.peer, "config", h.seq)
 		h.publish()
 	}
 }
--- a/internal/event/event_test.go
+++ b/internal/logevent/event_test.go
@@ -1,4 +1,4 @@
-package event
+package logevent
 
 import (
 	"os"
@@ -34,7 +34,7 @@
 	require.NoError(t, err)
 	direct := regexp.MustCompile(`klog\.(V|Info|Warning|Error|Fatal)`)
 	for dir := range strings.FieldsSeq(string(out)) {
-		if !strings.HasPrefix(dir, root) || strings.HasSuffix(dir, "internal/event") {
+		if !strings.HasPrefix(dir, root) || strings.HasSuffix(dir, "internal/logevent") {
 			continue
 		}
 		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
--- a/internal/event/table.go
+++ b/internal/logevent/table.go
@@ -1,4 +1,4 @@
-package event
+package logevent
 
 // The events. 1xx: the process; 2xx: the feed, members and servers; 3xx: clients' requests; 4xx: the
 // core, its view, chain and disk.
