--- a/internal/ev/ev.go
+++ b/internal/eventlog/ev.go
@@ -1,6 +1,6 @@
-// Package ev is the journal in memory of one process: events are appended to it, and views are
+// Package eventlog is the journal in memory of one process: events are appended to it, and views are
 // folded from it. The newest events are kept for operators.
-package ev
+package eventlog
 
 // Journal keeps the newest events and has every view take each in its order. It is not safe for
 // concurrent use: its owner serialises.
--- a/internal/ev/ev_test.go
+++ b/internal/eventlog/ev_test.go
@@ -1,4 +1,4 @@
-package ev
+package eventlog
 
 import (
 	"testing"
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -15,7 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"chalkdoor.example/chalkdoor/internal/conf"
-	"chalkdoor.example/chalkdoor/internal/ev"
+	"chalkdoor.example/chalkdoor/internal/eventlog"
 	"chalkdoor.example/chalkdoor/internal/feed"
 	"chalkdoor.example/chalkdoor/internal/lease"
 	"chalkdoor.example/chalkdoor/internal/logevent"
@@ -100,7 +100,7 @@
 	table     *registry.Table
 	leases    *lease.Table
 	members   map[string]Member // by source
-	journal   *ev.Journal[feed.Change]
+	journal   *eventlog.Journal[feed.Change]
 	sessions  map[*session]bool
 	changed   chan struct{} // closed and made anew at each change
 	seq       uint64
@@ -129,7 +129,7 @@
 	}
 	h := &Hub{o: o, start: time.Now(), members: map[string]Member{}, sessions: map[*session]bool{},
 		changed: make(chan struct{}), ended: map[string]time.Duration{}, granted: map[string]bool{}, leases: lease.New(leaseLasts),
-		limit: rate.NewLimiter(0, 100*noticeBytes), journal: ev.New[feed.Change](keepEvents), fullReports: rate.Sometimes{Interval: fullReportEvery}}
+		limit: rate.NewLimiter(0, 100*noticeBytes), journal: eventlog.New[feed.Change](keepEvents), fullReports: rate.Sometimes{Interval: fullReportEvery}}
 	h.set = feed.NewSet(h.newSource())
 	h.table = registry.NewTable(h.set.Self(), o.Beat)
 	h.journal.View(h.fold)
