--- a/internal/pick/keys.go
+++ b/internal/balancer/keys.go
@@ -1,4 +1,4 @@
-package pick
+package balancer
 
 import (
 	"math"
--- a/internal/pick/pick.go
+++ b/internal/balancer/pick.go
@@ -1,4 +1,4 @@
-// Package pick decides which server a request goes to, or that it is refused, as one agent
+// Package balancer decides which server a request goes to, or that it is refused, as one agent
 // sees the fleet: tiers by what its own attempts met, among the best of them a hash of the
 // prompt's shared parts under a cap of load, and of the few that come first the server where
 // the request loses least by being late, by reading parts again and by what its reading costs
@@ -7,7 +7,7 @@
 // All agents find the same order of servers for a key without talking; where a key is hot, more
 // of that order share it. It is pure: times of one steady clock go in. A Picker is not safe for
 // concurrent use.
-package pick
+package balancer
 
 import (
 	"math/rand/v2"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,9 +10,9 @@
 
 	"github.com/go-faster/errors"
 
+	"chalkdoor.example/chalkdoor/internal/balancer"
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/h1"
-	"chalkdoor.example/chalkdoor/internal/pick"
 )
 
 // maxAnswers is how many answers are read where ours is due: surplus ones may come before it.
@@ -24,16 +24,16 @@
 	door     *Door
 	answer   *answer
 	request  *request
-	decision pick.Decision
+	decision balancer.Decision
 	cn       *conn
-	fresh    bool     // the connection is new
-	end      pick.End // what the picker is told of it
-	reusable bool     // the response was read whole, and the server keeps the connection
+	fresh    bool         // the connection is new
+	end      balancer.End // what the picker is told of it
+	reusable bool         // the response was read whole, and the server keeps the connection
 }
 
 // attempt offers the request to one server and passes its answer on.
-func (d *Door) attempt(ctx context.Context, a *answer, r *request, dec pick.Decision) outcome {
-	t := &attempt{door: d, answer: a, request: r, decision: dec, end: pick.Cancelled}
+func (d *Door) attempt(ctx context.Context, a *answer, r *request, dec balancer.Decision) outcome {
+	t := &attempt{door: d, answer: a, request: r, decision: dec, end: balancer.Cancelled}
 	defer func() { d.end(dec.Attempt, t.end) }()
 	if err := t.connect(ctx); err != nil {
 		return t.notConnected(ctx, err)
@@ -74,7 +74,7 @@
 	case errors.Is(err, errTooMany), errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE),
 		errors.Is(err, syscall.EADDRNOTAVAIL), errors.Is(err, syscall.ENOBUFS):
 	default:
-		t.end = pick.ConnectFailed
+		t.end = balancer.ConnectFailed
 	}
 	return notSent
 }
@@ -133,7 +133,7 @@
 		return t.door.gone(ctx, notSent)
 	}
 	if t.fresh { // else the server closed a kept connection: nothing is wrong with it
-		t.end = pick.ConnectFailed
+		t.end = balancer.ConnectFailed
 	}
 	return notSent
 }
@@ -175,7 +175,7 @@
 	case ctx.Err() == context.Canceled:
 		return t.door.gone(ctx, mayRun)
 	case ctx.Err() != nil:
-		t.end = pick.Timeout
+		t.end = balancer.Timeout
 		return mayRun
 	}
 	t.door.pool.ages.Count(t.cn.slot, !errors.Is(err, h1.ErrSpoilt) && !timedOut(err))
@@ -196,7 +196,7 @@
 // passOn passes a success on to the client.
 func (t *attempt) passOn(ctx context.Context, resp *http.Response) (out outcome) {
 	if resp.Header.Get(hSeal) == "" || resp.Header.Get("Content-Encoding") != "" {
-		t.end = pick.Broken
+		t.end = balancer.Broken
 		return mayRun
 	}
 	if t.request.Route.Kind == conf.Streaming && t.request.method != http.MethodHead {
@@ -225,14 +225,14 @@
 		return mayRun
 	case code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests || code == http.StatusRequestTimeout:
 		// Without the server's word these promise nothing here, and would to the client.
-		t.end = pick.ServerError
+		t.end = balancer.ServerError
 		return mayRun
 	case code >= 500:
-		t.end = pick.ServerError
+		t.end = balancer.ServerError
 		t.answer.first = &failure{code, resp.Header, body}
 		return mayRun
 	}
-	t.end = pick.ClientError
+	t.end = balancer.ClientError
 	if t.answer.begun {
 		return mayRun
 	}
@@ -245,17 +245,17 @@
 func (t *attempt) promised(resp *http.Response) bool {
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest && t.expectedVersion() != "":
-		t.end = pick.ClientError // it may have other weights, and be the server that is listed
+		t.end = balancer.ClientError // it may have other weights, and be the server that is listed
 		return true
 	case resp.StatusCode == http.StatusMisdirectedRequest:
-		t.end = pick.WrongInstance
+		t.end = balancer.WrongInstance
 		return true
 	case resp.Header.Get(hNotRun) == "":
 		return false
 	case resp.StatusCode == http.StatusBadRequest:
-		t.end = pick.ClientError
+		t.end = balancer.ClientError
 	default:
-		t.end = pick.NotRun
+		t.end = balancer.NotRun
 	}
 	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && s > 0 && s < 60 {
 		t.answer.retryIn = time.Duration(s * float64(time.Second))
@@ -314,19 +314,19 @@
 }
 
 // broken maps what ended an attempt after the request was sent.
-func broken(err error) pick.End {
+func broken(err error) balancer.End {
 	switch {
 	case errors.Is(err, h1.ErrSpoilt):
-		return pick.Broken
+		return balancer.Broken
 	case timedOut(err):
-		return pick.Timeout
+		return balancer.Timeout
 	}
-	return pick.Reset
+	return balancer.Reset
 }
 
 // success passes on an answer that is no stream. Up to maxWhole it is held until it is whole; of a
 // longer one the client sees by its length or its last chunk whether it was.
-func (t *attempt) success(ctx context.Context, resp *http.Response) (outcome, pick.End, bool) {
+func (t *attempt) success(ctx context.Context, resp *http.Response) (outcome, balancer.End, bool) {
 	d, cn, a, r := t.door, t.cn, t.answer, t.request
 	src, err := bodyOf(cn, resp, r.method)
 	if err != nil {
@@ -336,13 +336,13 @@
 	body, err := io.ReadAll(io.LimitReader(src, maxWhole+1))
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return d.gone(ctx, mayRun), pick.Cancelled, false
+		return d.gone(ctx, mayRun), balancer.Cancelled, false
 	case err != nil:
 		return mayRun, broken(err), false
 	case len(body) <= maxWhole:
 		d.Figures.Served.Add(1)
 		d.whole(a, &failure{resp.StatusCode, resp.Header, body})
-		return done, pick.Served, true
+		return done, balancer.Served, true
 	}
 	copyHead(a.w.Header(), resp.Header)
 	if resp.ContentLength >= 0 {
@@ -358,5 +358,5 @@
 		return left, broken(err), false
 	}
 	d.Figures.Served.Add(1)
-	return done, pick.Served, true
+	return done, balancer.Served, true
 }
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -13,9 +13,9 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"chalkdoor.example/chalkdoor/internal/balancer"
 	"chalkdoor.example/chalkdoor/internal/h1"
 	"chalkdoor.example/chalkdoor/internal/node"
-	"chalkdoor.example/chalkdoor/internal/pick"
 )
 
 func TestAWholeAnswerIsPassedOnAsItCame(t *testing.T) {
@@ -537,9 +537,9 @@
 }
 
 func TestBlame(t *testing.T) {
-	require.Equal(t, pick.Broken, broken(h1.Spoilt("x")))
-	require.Equal(t, pick.Reset, broken(io.EOF))
-	require.Equal(t, pick.Timeout, broken(os.ErrDeadlineExceeded))
+	require.Equal(t, balancer.Broken, broken(h1.Spoilt("x")))
+	require.Equal(t, balancer.Reset, broken(io.EOF))
+	require.Equal(t, balancer.Timeout, broken(os.ErrDeadlineExceeded))
 }
 
 // A long answer is passed on without being held whole.
--- a/internal/gateway/door.go
+++ b/internal/gateway/door.go
@@ -1,5 +1,5 @@
 // Package gateway is the data plane of an agent: clients' requests come in, each is offered to one
-// server at a time as internal/pick decides, and gets exactly one final answer. Streams are passed
+// server at a time as internal/balancer decides, and gets exactly one final answer. Streams are passed
 // on event by event; one that may be resumed goes on at another server inside the same answer.
 //
 // What has been sent and not been answered may have run: only a server's own word, or a connection
@@ -20,11 +20,11 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/semaphore"
 
+	"chalkdoor.example/chalkdoor/internal/balancer"
 	"chalkdoor.example/chalkdoor/internal/h1"
 	"chalkdoor.example/chalkdoor/internal/hub"
 	logged "chalkdoor.example/chalkdoor/internal/logevent"
 	"chalkdoor.example/chalkdoor/internal/node"
-	"chalkdoor.example/chalkdoor/internal/pick"
 	"chalkdoor.example/chalkdoor/internal/retrybudget"
 )
 
@@ -63,21 +63,21 @@
 	opened   sync.Once
 
 	mu     sync.Mutex
-	picker *pick.Picker
+	picker *balancer.Picker
 	quota  *retrybudget.Budget
 
 	Figures Figures
 
 	// Notify, where it is set, is told of each request that was sent, and about how long that keeps
 	// its server reading.
-	Notify func(n pick.Notice, work time.Duration)
+	Notify func(n balancer.Notice, work time.Duration)
 }
 
 // New returns a door that refuses all until it is told what to go by.
 func New(set *node.Settings, seed uint64) *Door {
 	d := &Door{set: set, start: time.Now(), checks: make(chan struct{}, 1), able: make(chan struct{}),
 		memory: semaphore.NewWeighted(set.Limits.MemoryMB << 20 / 4),
-		picker: pick.New(pick.Options{Zone: set.Zone, Seed: seed}),
+		picker: balancer.New(balancer.Options{Zone: set.Zone, Seed: seed}),
 		quota:  retrybudget.New(set.Bounds.RetryRatio, time.Duration(set.Bounds.RetryWindowS*float64(time.Second)), set.Bounds.RetrySlack)}
 	base, cancel := context.WithCancel(context.Background())
 	d.breakOff = cancel
@@ -310,14 +310,14 @@
 }
 
 // Servers is what this agent holds of each server, for operators.
-func (d *Door) Servers() []pick.ServerView {
+func (d *Door) Servers() []balancer.ServerView {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.picker.Snapshot(d.now())
 }
 
 // Heard takes another agent's notice of a request that it sent that long ago.
-func (d *Door) Heard(age time.Duration, n *pick.Notice) {
+func (d *Door) Heard(age time.Duration, n *balancer.Notice) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.picker.Heard(d.now(), age, n)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,10 +12,10 @@
 
 	"github.com/go-faster/errors"
 
+	"chalkdoor.example/chalkdoor/internal/balancer"
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/h1"
 	"chalkdoor.example/chalkdoor/internal/hub"
-	"chalkdoor.example/chalkdoor/internal/pick"
 )
 
 // The header fields of the protocol.
@@ -47,7 +47,7 @@
 
 // request is one try of a client.
 type request struct {
-	pick.Request
+	balancer.Request
 	id       string
 	method   string
 	target   string // as it came, byte for byte
@@ -134,11 +134,11 @@
 }
 
 // parts reads the parts of a prompt. What can't be read ends them: they are a hint.
-func parts(text string) []pick.Part {
+func parts(text string) []balancer.Part {
 	if text == "" {
 		return nil
 	}
-	var out []pick.Part
+	var out []balancer.Part
 	for part := range strings.SplitSeq(text, ",") {
 		id, n, ok := strings.Cut(strings.TrimSpace(part), ":")
 		tokens, err := strconv.Atoi(n)
@@ -151,7 +151,7 @@
 			f.Write([]byte(id))
 			x = f.Sum64()
 		}
-		out = append(out, pick.Part{ID: x, Tokens: tokens})
+		out = append(out, balancer.Part{ID: x, Tokens: tokens})
 	}
 	return out
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"chalkdoor.example/chalkdoor/internal/balancer"
 	"chalkdoor.example/chalkdoor/internal/h1"
-	"chalkdoor.example/chalkdoor/internal/pick"
 	"chalkdoor.example/chalkdoor/internal/registry"
 )
 
@@ -81,9 +81,9 @@
 		d.mu.Lock()
 		dec := d.picker.Place(now, &r.Request)
 		d.mu.Unlock()
-		if dec.Kind == pick.Refuse || r.Left <= 0 {
-			if dec.Kind != pick.Refuse {
-				d.end(dec.Attempt, pick.Cancelled)
+		if dec.Kind == balancer.Refuse || r.Left <= 0 {
+			if dec.Kind != balancer.Refuse {
+				d.end(dec.Attempt, balancer.Cancelled)
 			}
 			d.giveUp(a, r, ran, dec.After, dec.Why)
 			return
@@ -159,12 +159,12 @@
 	}
 }
 
-func (d *Door) end(at *pick.Attempt, how pick.End) {
+func (d *Door) end(at *balancer.Attempt, how balancer.End) {
 	now := d.now()
 	d.mu.Lock()
 	at.End(now, how)
 	d.mu.Unlock()
-	if how != pick.Served && how != pick.Cancelled && how != pick.ClientError {
+	if how != balancer.Served && how != balancer.Cancelled && how != balancer.ClientError {
 		d.look()
 	}
 }
@@ -179,7 +179,7 @@
 }
 
 // load reads what a server tells of its load: running, waiting, slots.
-func load(field string) *pick.Load {
+func load(field string) *balancer.Load {
 	p := strings.Split(field, ",")
 	if len(p) != 3 {
 		return nil
@@ -191,7 +191,7 @@
 			return nil
 		}
 	}
-	return &pick.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
+	return &balancer.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
 }
 
 // whole sends a whole answer of a server.
@@ -222,7 +222,7 @@
 	d.look()
 }
 
-func (d *Door) checkOne(ctx context.Context, in *registry.Instance) (bool, *pick.Load) {
+func (d *Door) checkOne(ctx context.Context, in *registry.Instance) (bool, *balancer.Load) {
 	path, host := "/health", in.Addr
 	if doc := d.snap.Load().Doc; doc != nil && doc.Services[in.Service] != nil && doc.Services[in.Service].HealthPath != "" {
 		path = doc.Services[in.Service].HealthPath
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,8 +13,8 @@
 
 	"github.com/go-faster/errors"
 
+	"chalkdoor.example/chalkdoor/internal/balancer"
 	"chalkdoor.example/chalkdoor/internal/h1"
-	"chalkdoor.example/chalkdoor/internal/pick"
 )
 
 // The header fields of the version of a server's weights: what an answer was made with, and what a
@@ -158,14 +158,14 @@
 // stream passes the events of a server's answer on as they come, whole ones only. Ids that do not
 // follow on each other are not this stream's: it is broken there, and goes on at another server
 // where it may be resumed.
-func (t *attempt) stream(ctx context.Context, resp *http.Response) (outcome, pick.End, bool) {
+func (t *attempt) stream(ctx context.Context, resp *http.Response) (outcome, balancer.End, bool) {
 	d, cn, a, r := t.door, t.cn, t.answer, t.request
 	body, err := bodyOf(cn, resp, r.method)
 	if err != nil {
-		return mayRun, pick.Broken, false
+		return mayRun, balancer.Broken, false
 	}
 	if !a.join(version(resp.Header.Get(hVersions))) {
-		return mayRun, pick.Cancelled, false // nothing is wrong with the server
+		return mayRun, balancer.Cancelled, false // nothing is wrong with the server
 	}
 	var buf []byte
 	chunk := make([]byte, 8<<10)
@@ -179,7 +179,7 @@
 		if whole > 0 {
 			if werr := a.pass(resp, buf[:whole]); werr != nil {
 				d.Figures.Left.Add(1)
-				return left, pick.Cancelled, false
+				return left, balancer.Cancelled, false
 			}
 			buf = append(buf[:0], buf[whole:]...)
 			now := d.now()
@@ -189,21 +189,21 @@
 		}
 		switch {
 		case bad || len(buf) > maxEvent:
-			return mayRun, pick.Broken, false
+			return mayRun, balancer.Broken, false
 		case err == io.EOF && len(bytes.TrimSpace(buf)) > 0:
-			return mayRun, pick.Broken, false // it ends within an event
+			return mayRun, balancer.Broken, false // it ends within an event
 		case err == io.EOF:
 			if !a.begun { // an empty stream
 				if err := a.pass(resp, nil); err != nil {
-					return left, pick.Cancelled, false
+					return left, balancer.Cancelled, false
 				}
 			}
 			d.Figures.Served.Add(1)
-			return done, pick.Served, true
+			return done, balancer.Served, true
 		case err != nil && ctx.Err() != nil:
-			how := pick.Timeout
+			how := balancer.Timeout
 			if ctx.Err() == context.Canceled {
-				how = pick.Cancelled
+				how = balancer.Cancelled
 			}
 			return d.gone(ctx, mayRun), how, false
 		case err != nil:
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -14,12 +14,12 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/time/rate"
 
+	"chalkdoor.example/chalkdoor/internal/balancer"
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/eventlog"
 	"chalkdoor.example/chalkdoor/internal/feed"
 	"chalkdoor.example/chalkdoor/internal/lease"
 	"chalkdoor.example/chalkdoor/internal/logevent"
-	"chalkdoor.example/chalkdoor/internal/pick"
 	"chalkdoor.example/chalkdoor/internal/registry"
 	"chalkdoor.example/chalkdoor/internal/rpc"
 )
@@ -85,7 +85,7 @@
 	Saved []byte
 	// OnNotice takes a notice of another agent, of that age: see Notify. It is called under the
 	// hub's lock and may be nil. LinkMbps is the machine's link.
-	OnNotice func(age time.Duration, n *pick.Notice)
+	OnNotice func(age time.Duration, n *balancer.Notice)
 	LinkMbps float64
 	Dialer   rpc.Dialer // of sessions; nil: TCP
 }
--- a/internal/hub/notice.go
+++ b/internal/hub/notice.go
@@ -5,7 +5,7 @@
 
 	"golang.org/x/time/rate"
 
-	"chalkdoor.example/chalkdoor/internal/pick"
+	"chalkdoor.example/chalkdoor/internal/balancer"
 )
 
 // Notices tell other agents of requests that were sent, as loads that servers tell are old when
@@ -36,7 +36,7 @@
 	//lint:ignore U1000 msgpack reads this field by reflection
 	_msgpack struct{} `msgpack:",as_array"`
 	Instance string
-	Chain    []pick.Part
+	Chain    []balancer.Part
 	Prompt   int
 	Uncached int
 	AgeMs    int // when it was passed on
@@ -47,7 +47,7 @@
 
 // Notify tells the other agents of a request that was just sent and keeps its server reading for
 // about work. What there is no room for is dropped, the shorter ones first.
-func (h *Hub) Notify(n pick.Notice, work time.Duration) {
+func (h *Hub) Notify(n balancer.Notice, work time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.limit.SetLimit(rate.Limit(h.noticeRate()))
@@ -84,7 +84,7 @@
 		}
 		n.at = now - age
 		if h.o.OnNotice != nil {
-			h.o.OnNotice(age, &pick.Notice{Instance: n.Instance, Chain: n.Chain, Prompt: n.Prompt, Uncached: n.Uncached})
+			h.o.OnNotice(age, &balancer.Notice{Instance: n.Instance, Chain: n.Chain, Prompt: n.Prompt, Uncached: n.Uncached})
 		}
 		if n.Hops++; !core || n.Hops >= maxHops {
 			continue
