Rename package node to settings

Cause: the name was of the earlier house style; settings is the field's term. Measured: go build and go vet of the tree: ok.

--- a/cmd/edgectl/main.go
+++ b/cmd/edgectl/main.go
@@ -18,7 +18,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/apierror"
 	"chalkdoor.example/chalkdoor/internal/controlapi"
-	"chalkdoor.example/chalkdoor/internal/node"
+	"chalkdoor.example/chalkdoor/internal/settings"
 )
 
 // Exit statuses.
@@ -73,7 +73,7 @@
 	if len(s.Agent) > 0 {
 		return s.Agent, nil
 	}
-	set, err := node.Load(node.Path())
+	set, err := settings.Load(settings.Path())
 	if err != nil {
 		return nil, apierror.Wrap(err, apierror.Internal, "--agent", "name an agent's control address")
 	}
--- a/cmd/edged/main.go
+++ b/cmd/edged/main.go
@@ -16,7 +16,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/daemon"
 	"chalkdoor.example/chalkdoor/internal/logevent"
-	"chalkdoor.example/chalkdoor/internal/node"
+	"chalkdoor.example/chalkdoor/internal/settings"
 )
 
 type cli struct {
@@ -45,7 +45,7 @@
 			}
 		}
 	}()
-	d, err := daemon.New(node.Path())
+	d, err := daemon.New(settings.Path())
 	if err != nil {
 		return err
 	}
@@ -57,7 +57,7 @@
 }
 
 func (c checkCmd) Run() error {
-	s, err := node.Load(c.File)
+	s, err := settings.Load(c.File)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,8 +19,8 @@
 	"chalkdoor.example/chalkdoor/internal/gateway"
 	"chalkdoor.example/chalkdoor/internal/hub"
 	"chalkdoor.example/chalkdoor/internal/logevent"
-	"chalkdoor.example/chalkdoor/internal/node"
 	"chalkdoor.example/chalkdoor/internal/rpc"
+	"chalkdoor.example/chalkdoor/internal/settings"
 	"chalkdoor.example/chalkdoor/internal/view"
 )
 
@@ -34,7 +34,7 @@
 // Daemon is one process.
 type Daemon struct {
 	path   string
-	set    atomic.Pointer[node.Settings]
+	set    atomic.Pointer[settings.Settings]
 	pool   *rpc.Pool
 	core   *controlplane.Member
 	hub    *hub.Hub
@@ -45,7 +45,7 @@
 
 // New puts a process together by its settings file.
 func New(path string) (*Daemon, error) {
-	s, err := node.Load(path)
+	s, err := settings.Load(path)
 	if err != nil {
 		return nil, err
 	}
@@ -169,7 +169,7 @@
 			told = true
 		case <-tick.C:
 		}
-		s, err := node.Load(d.path)
+		s, err := settings.Load(d.path)
 		if err != nil {
 			logevent.SettingsBad.Error(err)
 			continue
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -11,8 +11,8 @@
 	"github.com/go-faster/errors"
 
 	"chalkdoor.example/chalkdoor/internal/logevent"
-	"chalkdoor.example/chalkdoor/internal/node"
 	"chalkdoor.example/chalkdoor/internal/rpc"
+	"chalkdoor.example/chalkdoor/internal/settings"
 )
 
 const (
@@ -81,7 +81,7 @@
 
 // listen opens all sockets before anything works, so that nothing is left behind where one can't be
 // opened.
-func listen(ctx context.Context, s *node.Settings) (*listeners, error) {
+func listen(ctx context.Context, s *settings.Settings) (*listeners, error) {
 	l := new(listeners)
 	for _, want := range []struct {
 		addr string
@@ -114,7 +114,7 @@
 }
 
 // peerAddr is the address at which other agents call this one.
-func peerAddr(s *node.Settings) string {
+func peerAddr(s *settings.Settings) string {
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort()))
 }
 
@@ -169,7 +169,7 @@
 }
 
 // end serves to its end what is held, and tells the others.
-func (d *Daemon) end(s *node.Settings) {
+func (d *Daemon) end(s *settings.Settings) {
 	d.ending.Store(true)
 	logevent.Ending.Log("node", s.Name)
 	by := time.Now().Add(s.Grace() - lastWords)
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -15,7 +15,7 @@
 
 	"chalkdoor.example/chalkdoor/internal/balancer"
 	"chalkdoor.example/chalkdoor/internal/h1"
-	"chalkdoor.example/chalkdoor/internal/node"
+	"chalkdoor.example/chalkdoor/internal/settings"
 )
 
 func TestAWholeAnswerIsPassedOnAsItCame(t *testing.T) {
@@ -170,7 +170,7 @@
 }
 
 func TestTheBudgetIsAskedBeforeAnotherServer(t *testing.T) {
-	empty := func(s *node.Settings) { s.Bounds.RetryRatio, s.Bounds.RetrySlack = 0, 0 }
+	empty := func(s *settings.Settings) { s.Bounds.RetryRatio, s.Bounds.RetrySlack = 0, 0 }
 	w := newWorld(t, 2, func(a *arrival, n int) bool { return a.answer(503, hNotRun+": 1\r\n", "full") }, empty)
 	resp, _ := w.ask(post("/safe/x", "", "q"))
 	refused(t, resp)
@@ -198,7 +198,7 @@
 				return a.stream("s") && a.events(1, 1) && a.ended()
 			}
 			return a.serve()
-		}, func(s *node.Settings) { s.Bounds.RetryRatio, s.Bounds.RetrySlack = 0, 0 })
+		}, func(s *settings.Settings) { s.Bounds.RetryRatio, s.Bounds.RetrySlack = 0, 0 })
 		w.servers[0].ln.Close()
 		w.servers[1].ln.Close()
 		for range 4 {
--- a/internal/gateway/door.go
+++ b/internal/gateway/door.go
@@ -24,8 +24,8 @@
 	"chalkdoor.example/chalkdoor/internal/h1"
 	"chalkdoor.example/chalkdoor/internal/hub"
 	logged "chalkdoor.example/chalkdoor/internal/logevent"
-	"chalkdoor.example/chalkdoor/internal/node"
 	"chalkdoor.example/chalkdoor/internal/retrybudget"
+	"chalkdoor.example/chalkdoor/internal/settings"
 )
 
 const (
@@ -49,7 +49,7 @@
 
 // Door serves clients.
 type Door struct {
-	set      *node.Settings
+	set      *settings.Settings
 	start    time.Time
 	snap     atomic.Pointer[hub.Snapshot]
 	pool     *pool
@@ -74,7 +74,7 @@
 }
 
 // New returns a door that refuses all until it is told what to go by.
-func New(set *node.Settings, seed uint64) *Door {
+func New(set *settings.Settings, seed uint64) *Door {
 	d := &Door{set: set, start: time.Now(), checks: make(chan struct{}, 1), able: make(chan struct{}),
 		memory: semaphore.NewWeighted(set.Limits.MemoryMB << 20 / 4),
 		picker: balancer.New(balancer.Options{Zone: set.Zone, Seed: seed}),
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -17,8 +17,8 @@
 
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/hub"
-	"chalkdoor.example/chalkdoor/internal/node"
 	"chalkdoor.example/chalkdoor/internal/registry"
+	"chalkdoor.example/chalkdoor/internal/settings"
 )
 
 // exchangeID is the id of the request that is played.
@@ -163,7 +163,7 @@
 // play sends a request through a door to the servers of an exchange. aborted tells that the answer
 // was broken off: the client sees that it is not whole.
 func (x *exchange) play(t *testing.T, path string) (resp *httptest.ResponseRecorder, aborted bool) {
-	set := &node.Settings{Name: "a", Zone: "z", IP: "127.0.0.1"}
+	set := &settings.Settings{Name: "a", Zone: "z", IP: "127.0.0.1"}
 	set.Limits.MemoryMB, set.Limits.FDs = 256, 1024
 	set.Bounds.RetryRatio, set.Bounds.RetryWindowS, set.Bounds.RetrySlack = 1000, 10, 1000
 	d := New(set, 1)
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chalkdoor.example/chalkdoor/internal/hub"
-	"chalkdoor.example/chalkdoor/internal/node"
+	"chalkdoor.example/chalkdoor/internal/settings"
 )
 
 // A message that may be read in two ways, or not at all, gets an error and its connection is closed:
@@ -360,7 +360,7 @@
 }
 
 func TestConnectionsOfClientsAreBounded(t *testing.T) {
-	w := newWorld(t, 1, func(a *arrival, _ int) bool { return a.serve() }, func(s *node.Settings) { s.Limits.FDs = 400 })
+	w := newWorld(t, 1, func(a *arrival, _ int) bool { return a.serve() }, func(s *settings.Settings) { s.Limits.FDs = 400 })
 	var conns []*client
 	for range 300 {
 		conns = append(conns, w.dial())
--- a/internal/gateway/main_test.go
+++ b/internal/gateway/main_test.go
@@ -21,8 +21,8 @@
 	"chalkdoor.example/chalkdoor/internal/conf"
 	"chalkdoor.example/chalkdoor/internal/hub"
 	"chalkdoor.example/chalkdoor/internal/leak"
-	"chalkdoor.example/chalkdoor/internal/node"
 	"chalkdoor.example/chalkdoor/internal/registry"
+	"chalkdoor.example/chalkdoor/internal/settings"
 )
 
 func TestMain(m *testing.M) { leak.Main(m) }
@@ -156,7 +156,7 @@
 	over  bool
 }
 
-type option func(*node.Settings)
+type option func(*settings.Settings)
 
 // newWorld starts a door with so many servers of service s.
 func newWorld(t testing.TB, servers int, script func(a *arrival, n int) bool, opts ...option) *world {
@@ -167,7 +167,7 @@
 
 // prepare starts a door that knows nothing yet.
 func prepare(t testing.TB, servers int, script func(a *arrival, n int) bool, opts ...option) *world {
-	set := &node.Settings{Name: "a", Zone: "z", IP: "127.0.0.1"}
+	set := &settings.Settings{Name: "a", Zone: "z", IP: "127.0.0.1"}
 	set.Limits.MemoryMB, set.Limits.FDs = 256, 1024
 	set.Bounds.RetryRatio, set.Bounds.RetryWindowS, set.Bounds.RetrySlack = 1000, 10, 1000
 	for _, o := range opts {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"chalkdoor.example/chalkdoor/internal/node"
+	"chalkdoor.example/chalkdoor/internal/settings"
 )
 
 // readEvent reads one event of a stream.
@@ -130,7 +130,7 @@
 					a.events(1, 2)
 					<-read
 					return broke(a)
-				}, func(s *node.Settings) {
+				}, func(s *settings.Settings) {
 					if path == "/resume/x" || path == "/quick/x" {
 						s.Bounds.RetryRatio, s.Bounds.RetrySlack = 0, 0
 					}
@@ -337,7 +337,7 @@
 				return a.send("HTTP/1.1 200 OK\r\n\r\n")
 			}
 			return a.events(upTo+1, last) && a.ended() && a.send("%s", []string{"", "\r\n", "HTTP/1.1 200 OK\r\n"}[rng.IntN(3)])
-		}, func(s *node.Settings) {
+		}, func(s *settings.Settings) {
 			if rng.IntN(4) == 0 {
 				s.Bounds.RetryRatio, s.Bounds.RetrySlack = 0, 0
 			}
@@ -416,7 +416,7 @@
 		a.stream("s")
 		a.events(1, 2)
 		return a.await(1200*time.Millisecond) && a.events(3, 4) && a.ended()
-	}, func(s *node.Settings) { s.Bounds.RetryRatio, s.Bounds.RetrySlack = 0, 0 })
+	}, func(s *settings.Settings) { s.Bounds.RetryRatio, s.Bounds.RetrySlack = 0, 0 })
 	w.update(w.doc(quickRoutes))
 	_, body := w.ask(post("/quick/x", "", "q"))
 	require.Equal(t, events(1, 4), body)
--- a/internal/lab/fleetlab/agents.go
+++ b/internal/lab/fleetlab/agents.go
@@ -15,7 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"chalkdoor.example/chalkdoor/internal/lab/procs"
-	"chalkdoor.example/chalkdoor/internal/node"
+	"chalkdoor.example/chalkdoor/internal/settings"
 )
 
 // The ports are alike on all machines: each has an address of its own.
@@ -129,7 +129,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	env := []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), node.EnvFile + "=" + path}
+	env := []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), settings.EnvFile + "=" + path}
 	a.lab.seen.trouble(Trouble{Agent: a.IP, Core: a.Core, Start: true}, a.lab.Now)()
 	p, err := a.lab.group.Start(procs.Spec{Name: a.Name, Path: a.lab.cfg.Program, Args: []string{"run"}, Env: env, Log: a.log()})
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/settings/node.go
@@ -1,5 +1,5 @@
-// Package node reads and checks the settings file that the platform writes for each process.
-package node
+// Package settings reads and checks the settings file that the platform writes for each process.
+package settings
 
 import (
 	"crypto/sha256"
--- a/internal/node/node_test.go
+++ b/internal/settings/node_test.go
@@ -1,4 +1,4 @@
-package node
+package settings
 
 import (
 	"os"
