Have the whole core lose power at the end of many changes

Cause: on a scratch copy a view that is not on disk was not found: single machines learn the newest view from the others. Change: point 4 ends with a loss of power of all core machines, which come back one after the other.

--- a/internal/lab/controlsim/faults.go
+++ b/internal/lab/controlsim/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/view"
@@ -23,7 +24,8 @@
 	SlowDisk  FaultKind = "slow-disk"
 	StallDisk FaultKind = "stall-disk"
 	FullDisk  FaultKind = "full-disk"
-	Reset     FaultKind = "reset" // all connections of the machine, once
+	Reset     FaultKind = "reset"    // all connections of the machine, once
+	Blackout  FaultKind = "blackout" // all machines of the core lose power
 )
 
 // Place names the machine that a fault hits, by the view at that moment.
@@ -104,6 +106,10 @@
 	if f.On != "" && !r.awaitCall(ctx, f) {
 		return
 	}
+	if f.Kind == Blackout {
+		r.playBlackout(ctx, f)
+		return
+	}
 	r.log("fault: %v: %s", f, m.name)
 	defer r.trouble(m, f.Kind)()
 	switch f.Kind {
@@ -144,6 +150,24 @@
 	r.log("fault ends: %s of %s", f.Kind, m.name)
 }
 
+// playBlackout has all machines of the core lose power, and come back one shortly after the other.
+func (r *run) playBlackout(ctx context.Context, f Fault) {
+	r.log("fault: %v", f)
+	core := slices.DeleteFunc(r.members(), func(m *machine) bool { return m.running() == nil })
+	for _, m := range core {
+		defer r.trouble(m, f.Kind)()
+		m.kill(true)
+	}
+	pause(ctx, f.For)
+	for _, m := range core {
+		if m.running() == nil && ctx.Err() == nil {
+			m.start(ctx, false)
+		}
+		pause(ctx, f.Lag)
+	}
+	r.log("fault ends: %s", f.Kind)
+}
+
 // slowTimes is how much slower a slow disk is.
 const slowTimes = 30
 
--- a/internal/lab/controlsim/scenarios.go
+++ b/internal/lab/controlsim/scenarios.go
@@ -182,6 +182,8 @@
 		}
 		s.faults = append(s.faults, f)
 	}
+	s.faults = append(s.faults, Fault{Kind: Blackout, Place: Head, At: s.length + time.Second, For: between(random, 200*time.Millisecond, 3*time.Second),
+		Lag: between(random, 0, 500*time.Millisecond)})
 }
 
 // resets is point 5: connections between processes are reset, hold their bytes up and bring them late,
