--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -25,7 +25,6 @@
 	"chalkdoor.example/chalkdoor/internal/store"
 	"chalkdoor.example/chalkdoor/internal/view"
 	"github.com/go-faster/errors"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 const (
@@ -48,14 +47,6 @@
 	defaultAck = 900 * time.Millisecond
 )
 
-// The names of the records on disk.
-const (
-	keyID    = "id"
-	keyView  = "view"
-	keyVote  = "vote"
-	keyValue = "value"
-)
-
 // Options say what a Member is and whom it tells.
 type Options struct {
 	Addr         string // HOST:PORT at which this agent is called
@@ -190,44 +181,6 @@
 	return st, nil
 }
 
-func (m *Member) loadState() error {
-	id, ok := m.store.Get(keyID)
-	if !ok {
-		id = []byte(random(8))
-		if err := m.store.Put(keyID, id); err != nil {
-			logevent.DiskWaits.Error(err)
-		} else {
-			ok = true
-		}
-	}
-	m.named = ok
-	m.me = view.Peer{ID: string(id), Addr: m.o.Addr, Zone: m.o.Zone, Region: m.o.Region, Disk: m.o.Dir != "", Counted: m.o.Counted}
-	for key, to := range map[string]any{keyView: &m.view, keyVote: &m.vote, keyValue: &m.record} {
-		if raw, ok := m.store.Get(key); ok {
-			if err := decode(raw, to); err != nil {
-				return errors.Wrapf(err, "read record %s of state-dir (run the version that wrote it)", key)
-			}
-		}
-	}
-	m.seen = m.view
-	return nil
-}
-
-// recordFormat is the version of the records' own encoding.
-const recordFormat = 1
-
-func encode(v any) ([]byte, error) {
-	raw, err := msgpack.Marshal(v)
-	return append([]byte{recordFormat}, raw...), err
-}
-
-func decode(raw []byte, to any) error {
-	if len(raw) == 0 || raw[0] != recordFormat {
-		return errors.New("unknown format")
-	}
-	return msgpack.Unmarshal(raw[1:], to)
-}
-
 func random(bytes int) string {
 	b := make([]byte, bytes)
 	_, _ = rand.Read(b) // never fails
@@ -470,55 +423,3 @@
 	defer m.mu.Unlock()
 	return m.committed, m.committed.Seq > 0
 }
-
-// Status is what an operator may want to know of a member.
-type Status struct {
-	ID      string
-	Addr    string
-	Dir     string
-	View    view.View
-	Place   int // in the chain, from 0; -1: not in it
-	Voter   bool
-	Linked  bool
-	Whole   bool // holds everything that was acknowledged
-	Record  uint64
-	Commit  uint64
-	Short   view.Shortfall // losses that the voters of View don't bear
-	Pending bool           // a next view was accepted here and its decision is not known
-	Ending  bool
-	Disk    store.Health
-	Peers   []PeerStatus
-}
-
-// PeerStatus is what a member knows of another one.
-type PeerStatus struct {
-	Peer   view.Peer
-	Silent time.Duration
-	View   uint64
-	Commit uint64
-	Sick   bool
-	Ending bool
-}
-
-// Status waits for nothing.
-func (m *Member) Status() Status {
-	now := time.Now()
-	disk := m.store.Health(now)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	r := m.replicaLocked()
-	_, voter := m.view.Voter(m.me.ID)
-	s := Status{ID: m.me.ID, Addr: m.me.Addr, Dir: m.o.Dir, View: m.view, Place: m.view.Place(m.me.ID), Voter: voter,
-		Linked: m.majorityLocked(now), Whole: r.Complete(), Record: m.record.Value.Seq, Commit: m.committed.Seq,
-		Short: m.view.Shortfall(m.tolerance()), Pending: m.pendingLocked() != 0, Ending: m.ending, Disk: disk}
-	for _, p := range m.peers {
-		s.Peers = append(s.Peers, PeerStatus{Peer: p.said.Peer, Silent: p.silent(now, m.awake), View: p.said.View, Commit: p.said.Seq, Sick: p.said.Sick, Ending: p.said.Ending})
-	}
-	slices.SortFunc(s.Peers, func(a, b PeerStatus) int {
-		if a.Peer.ID < b.Peer.ID {
-			return -1
-		}
-		return 1
-	})
-	return s
-}
