Log and report the steps of a process's start, and an agent that reaches no core

Change: events E206, E208, E222, E311 for each step of a start, E207 while no relay is reached (seeds asked, relays known, heartbeats that came), E223 when the server list becomes empty; `edgectl recovery` and /chalkdoor/ops/recovery give the steps in milliseconds. No change of logic.

--- a/cmd/edgectl/cli.go
+++ b/cmd/edgectl/cli.go
@@ -14,14 +14,15 @@
 	JSON    bool          `name:"json" help:"Print JSON."`
 	Timeout time.Duration `name:"timeout" help:"The most time for a call with all its attempts." default:"15s"`
 
-	Config  configCommands `name:"config" cmd:"" help:"The configuration."`
-	Members inspectCommand `name:"members" cmd:"" help:"Print the agents that hold a lease."`
-	Servers inspectCommand `name:"servers" cmd:"" help:"Print the servers that are listed."`
-	View    inspectCommand `name:"view" cmd:"" help:"Print the agreed view and its chain."`
-	Status  inspectCommand `name:"status" cmd:"" help:"Print the status of an agent."`
-	Figures inspectCommand `name:"figures" cmd:"" help:"Print the counters of an agent."`
-	State   stateCommands  `name:"state" cmd:"" help:"State on disk."`
-	Version versionCommand `name:"version" cmd:"" help:"Print the version."`
+	Config   configCommands `name:"config" cmd:"" help:"The configuration."`
+	Members  inspectCommand `name:"members" cmd:"" help:"Print the agents that hold a lease."`
+	Servers  inspectCommand `name:"servers" cmd:"" help:"Print the servers that are listed."`
+	View     inspectCommand `name:"view" cmd:"" help:"Print the agreed view and its chain."`
+	Status   inspectCommand `name:"status" cmd:"" help:"Print the status of an agent."`
+	Figures  inspectCommand `name:"figures" cmd:"" help:"Print the counters of an agent."`
+	Recovery inspectCommand `name:"recovery" cmd:"" help:"Print when an agent reached each step of its start."`
+	State    stateCommands  `name:"state" cmd:"" help:"State on disk."`
+	Version  versionCommand `name:"version" cmd:"" help:"Print the version."`
 }
 
 type configCommands struct {
--- a/internal/fleet/daemon/control.go
+++ b/internal/fleet/daemon/control.go
@@ -135,6 +135,8 @@
 		return serversReport{Health: c.daemon.gateway.ServerStatuses(), Servers: report.Servers}, nil
 	case "view":
 		return c.daemon.core.Status(), nil
+	case "recovery":
+		return c.daemon.recovery.report(), nil
 	case "figures":
 		return c.daemon.gateway.Counters.Values(), nil
 	default:
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -55,6 +55,7 @@
 	relay         *relay.Node
 	gateway       *gateway.Gateway
 	controlServer *controlapi.Server
+	recovery      *recoveryTracker
 	draining      atomic.Bool // set once the process has begun to shut down
 }
 
@@ -67,7 +68,7 @@
 	}
 	logUnsupported(current)
 	debug.SetMemoryLimit(current.Limits.MemoryMB * bytesPerMB * memoryLimitTenths / 10)
-	d := &Daemon{settingsPath: path, peerPool: rpc.NewPool()}
+	d := &Daemon{settingsPath: path, peerPool: rpc.NewPool(), recovery: newRecoveryTracker()}
 	d.settings.Store(current)
 	d.gateway = gateway.New(current, seedOf(current.Name))
 	if d.core, err = d.openCore(current); err != nil {
@@ -75,6 +76,7 @@
 	}
 	d.relay = d.newRelay(current)
 	d.gateway.OnSent = d.relay.BroadcastNotice
+	d.gateway.OnFirstServed = d.recovery.requestServed
 	d.controlServer = controlapi.NewServer(&controlBackend{d}, controlapi.Options{SubmitTimeout: submitTimeout, ReadTimeout: readTimeout})
 	return d, nil
 }
@@ -118,6 +120,7 @@
 		Counted:    current.CountedLoss,
 		Pool:       d.peerPool,
 		Transition: applyUpdate,
+		OnView:     d.recovery.viewKnown,
 		OnCommit:   func(committed chain.Value) { d.relay.ApplyConfig(committed.Seq, committed.Body) },
 	})
 }
@@ -140,7 +143,8 @@
 		HeartbeatInterval: time.Duration(current.HeartbeatPeriodMs) * time.Millisecond,
 		Core:              coreAdapter{d.core},
 		SeedAddrs:         d.seedAddrs,
-		OnChange:          d.gateway.Update,
+		OnChange:          d.applySnapshot,
+		OnAttached:        d.recovery.coreReachable,
 		OnNotice:          d.gateway.ObserveRemotePrefill,
 		LinkMbps:          current.Limits.LinkMbps,
 	}
@@ -151,6 +155,12 @@
 	return relay.New(options)
 }
 
+// applySnapshot puts a new snapshot into force.
+func (d *Daemon) applySnapshot(snapshot *relay.Snapshot) {
+	d.gateway.Update(snapshot)
+	d.recovery.snapshotChanged(snapshot)
+}
+
 // peerAddr is the address at which other agents call this one.
 func peerAddr(current *settings.Settings) string {
 	return net.JoinHostPort(current.IP, strconv.Itoa(current.PeerPort()))
--- a/internal/fleet/gateway/counters.go
+++ b/internal/fleet/gateway/counters.go
@@ -16,6 +16,13 @@
 	ClientDisconnects atomic.Int64 // clients that left before their response was complete
 }
 
+// countServed counts a request that was served.
+func (g *Gateway) countServed() {
+	if g.Counters.Served.Add(1) == 1 && g.OnFirstServed != nil {
+		g.OnFirstServed()
+	}
+}
+
 // Values returns the counters by the names that operators know them by.
 func (c *Counters) Values() map[string]int64 {
 	return map[string]int64{
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -62,6 +62,9 @@
 	// Counters count what became of requests.
 	Counters Counters
 
+	// OnFirstServed, if set, is called once the first request was served. It must be set before Serve.
+	OnFirstServed func()
+
 	// OnSent, if set, is called with each request that was sent to a server and the estimated time
 	// for which it occupies the server's prefill. It must be set before Serve and must not block.
 	OnSent func(notice balancer.PrefillNotice, prefill time.Duration)
--- a/internal/fleet/gateway/relay.go
+++ b/internal/fleet/gateway/relay.go
@@ -63,7 +63,7 @@
 	case len(start) > maxBufferedBodyBytes:
 		return t.relayLongBody(upstream, start, body)
 	}
-	t.gateway.Counters.Served.Add(1)
+	t.gateway.countServed()
 	t.response.writeBuffered(&bufferedResponse{upstream.StatusCode, upstream.Header, start})
 	return resultServed
 }
@@ -86,7 +86,7 @@
 		t.gateway.Counters.Truncated.Add(1)
 		return relayFailed(outcomeClientDisconnected, reportedOutcomeOf(err))
 	}
-	t.gateway.Counters.Served.Add(1)
+	t.gateway.countServed()
 	return resultServed
 }
 
--- a/internal/fleet/gateway/stream.go
+++ b/internal/fleet/gateway/stream.go
@@ -77,7 +77,7 @@
 			return relayFailed(outcomeClientDisconnected, balancer.Cancelled)
 		}
 	}
-	t.gateway.Counters.Served.Add(1)
+	t.gateway.countServed()
 	return resultServed
 }
 
--- a/internal/fleet/logevent/catalogue.go
+++ b/internal/fleet/logevent/catalogue.go
@@ -21,10 +21,15 @@
 	SyncedAfterFullRestart ID = 203
 	ServersRestored        ID = 204
 	NewestConfigConfirmed  ID = 205
+	FirstViewKnown         ID = 206
+	CoreUnreachable        ID = 207
+	CoreReachable          ID = 208
 	OwnLeaseExpired        ID = 210
 	LeaseExpired           ID = 211
 	ServerTimedOut         ID = 220
 	ServerTableFull        ID = 221
+	FirstServersListed     ID = 222
+	ServerListEmpty        ID = 223
 	SessionStarted         ID = 230
 	SessionSendFailed      ID = 231
 	SessionEnded           ID = 232
@@ -32,9 +37,10 @@
 
 // The events of clients' requests.
 const (
-	RequestsAborted  ID = 310
-	RequestRejected  ID = 320
-	AmbiguousFraming ID = 330
+	RequestsAborted    ID = 310
+	FirstRequestServed ID = 311
+	RequestRejected    ID = 320
+	AmbiguousFraming   ID = 330
 )
 
 // The events of the core, its view and its disk.
@@ -73,15 +79,21 @@
 	{SyncedAfterFullRestart, "initial synchronization completed after a restart of the complete core", "no machine of the core knew more than its own disk: all of them were down", "on-call, unless the restart was planned: find out why all machines of the core were down", levelAlways},
 	{ServersRestored, "servers restored from disk until their next heartbeats", "after a restart of everything requests are routed before the servers' next heartbeats", noAction, levelAlways},
 	{NewestConfigConfirmed, "newest configuration confirmed by the core", "this incarnation of the process routes by no older configuration", noAction, levelControl},
+	{FirstViewKnown, "machines of the core known", "a step of the start: the process knows a view, from its disk or from another process; `after` counts from its start", noAction, levelAlways},
+	{CoreUnreachable, "no machine of the core can be reached", "the process has had no session with a relay that has a quorum for the time in `for`; `seeds` are the addresses that it asks, `members` the relays that it knows, none as long as it knows no view, and `heartbeats` counts the servers' heartbeats that came meanwhile", "on-call: check that the seeds run and that one of them knows the core (`edgectl --agent SEED view`); look for a partition", levelAlways},
+	{CoreReachable, "session with a relay that has a quorum", "a step of the start, or the end of an E207; `after` counts from the start of the process, `lost` is for how long there was none", noAction, levelAlways},
 	{OwnLeaseExpired, "own lease expired; continuing as a new incarnation", "the core ended this agent's lease while it was frozen or partitioned", "on-call, unless there is a network partition: check the machine's processor and links", levelAlways},
 	{LeaseExpired, "lease expired; member removed", "an agent had no session with the core for the duration of a lease", "on-call: check that machine", levelAlways},
 	{ServerTimedOut, "server timed out", "a server's heartbeats are overdue; it gets no requests until its next heartbeat", "on-call, if it does not return: check the server", levelControl},
 	{ServerTableFull, "server table is full", "a server that is not in the table was rejected, or is not listed; logged once in ten seconds", "on-call: look for servers that register again and again with new ids", levelAlways},
+	{FirstServersListed, "servers listed", "a step of the start, or the end of an E223: requests have servers to go to", noAction, levelAlways},
+	{ServerListEmpty, "no server is listed any more", "all servers have drained, ended or missed their heartbeats, or those come to agents that are partitioned off; requests are refused", "on-call: check the servers, and for E207 at the agents that take their heartbeats", levelAlways},
 	{SessionStarted, "session with a relay started", "this agent has connected to a machine of the core", noAction, levelControl},
 	{SessionSendFailed, "session failed while sending", "the peer or the link failed", noAction, levelRequests},
 	{SessionEnded, "session with a relay ended", "the peer shut down, timed out or was partitioned; the agent connects to another relay at once", noAction, levelControl},
 
 	{RequestsAborted, "requests aborted at the end of the grace period", "streams took longer than `grace-s`; `held` counts them", "platform, if it happens often: extend the grace period", levelAlways},
+	{FirstRequestServed, "first request served", "the last step of the start; `after` counts from the start of the process", noAction, levelAlways},
 	{RequestRejected, "request rejected", "a request got 503 with `Retry-After`; `why` names the missing capacity", "operator, if it happens often: add servers", levelRequests},
 	{AmbiguousFraming, "request with ambiguous framing rejected", "a client sent a request that HTTP implementations delimit in different ways; it got 400 and its connection was closed", "owner of the client: correct what `err` names", levelRequests},
 
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -65,6 +65,10 @@
 	OnNotice func(age time.Duration, notice *balancer.PrefillNotice)
 	// LinkMbps is the capacity of the machine's network link in megabits per second.
 	LinkMbps float64
+	// OnAttached is called once there is a session with a relay that has a quorum, or this process is
+	// one, and again whenever that was lost meanwhile; lost is for how long. It is called with the
+	// node's lock held, so it must be short and must not call the node. It may be nil.
+	OnAttached func(lost time.Duration)
 	// Dialer opens the connections of sessions; nil means TCP.
 	Dialer rpc.Dialer
 }
@@ -82,6 +86,7 @@
 	config        configState
 	members       map[string]Member // by source
 	leases        leaseManager
+	attachment    attachment
 	ends          endAnnouncements
 	departing     bool // this node has announced its own end
 	readiness     readiness
@@ -111,6 +116,7 @@
 		tableFullLog:  rate.Sometimes{Interval: tableFullLogInterval},
 		changed:       make(chan struct{}),
 	}
+	n.attachment = newAttachment(n.now())
 	n.items = deltasync.NewStore(n.newSourceName())
 	n.servers = registry.NewTable(n.items.OwnSource(), options.HeartbeatInterval)
 	n.changeLog.Subscribe(n.applyChangeLocked)
@@ -167,6 +173,7 @@
 	n.sessions.closeTimedOut(now)
 	n.configCache.expire(now)
 	n.leases.observeAttachment(now, n.sessions.hasResponsiveRelay(now))
+	n.observeAttachmentLocked(now, isMember && hasQuorum, members)
 	n.readiness.observeCore(now, isMember, hasQuorum)
 	n.selfStartLocked(now, members)
 	n.updateGrantedLeasesLocked(isMember)
--- a/internal/fleet/relay/servers.go
+++ b/internal/fleet/relay/servers.go
@@ -21,6 +21,7 @@
 		return false
 	}
 	n.mu.Lock()
+	n.attachment.countHeartbeat()
 	update, err := n.servers.Heartbeat(n.now(), instance)
 	published := n.publishServerLocked(instance.ID, update, err)
 	n.mu.Unlock()
