--- a/internal/testbed/fleetlab/fleet.go
+++ b/internal/testbed/fleetlab/fleet.go
@@ -72,14 +72,14 @@
 	background   sync.WaitGroup
 	recorder     *recorder
 	zones        []string
-	seeds        []string
 	Agents       []*Agent
 	LoadBalancer *LoadBalancer
 	Operator     *Operator
 
 	probeCount atomic.Int64
 
-	mu             sync.Mutex
+	mu             sync.Mutex // guards all that follows
+	seeds          []string   // control addresses
 	servers        []*modelserver.Server
 	stoppedServers []*modelserver.Server
 }
@@ -119,7 +119,7 @@
 		f.Agents = append(f.Agents, a)
 	}
 	random := rand.New(rand.NewPCG(cfg.Seed, 5))
-	for _, i := range random.Perm(cfg.Agents)[:min(3, cfg.Agents)] {
+	for _, i := range random.Perm(cfg.Agents)[:min(maxSeeds, cfg.Agents)] {
 		f.seeds = append(f.seeds, f.Agents[i].ControlAddr())
 	}
 	f.Operator = newOperator(f.controlAddrs, f.Now, f.recorder, cfg.Seed)
--- a/internal/testbed/fleetlab/settings_file.go
+++ b/internal/testbed/fleetlab/settings_file.go
@@ -33,7 +33,7 @@
 	list := func(items []string) string { return `["` + strings.Join(items, `","`) + `"]` }
 	ms := time.Duration.Milliseconds
 	fmt.Fprintf(&b, "node-name = %q\nrole = \"edge\"\nmachine-class = \"edge\"\nserved-roles = [\"edge\",\"control\"]\nip = %q\nzone = %q\nregion = \"lab\"\n", a.Name, a.IP, a.Zone)
-	fmt.Fprintf(&b, "port-range = [%d,%d]\nseed-nodes = %s\nfirst-start = %v\n", firstPort, lastPort, list(fleet.seeds), first)
+	fmt.Fprintf(&b, "port-range = [%d,%d]\nseed-nodes = %s\nfirst-start = %v\n", firstPort, lastPort, list(fleet.seedAddrs()), first)
 	if a.Core {
 		state := filepath.Join(a.dir, "state")
 		if err := os.MkdirAll(state, 0o755); err != nil {
