Have the core tell its view to agents that reach nobody, and send servers away from those

Cause: a process that starts again learns who the core is from the seeds of its settings. Where those have no disk and were restarted too, nobody knows; the core knows itself, but called nobody outside. And an agent that reaches no core acknowledged heartbeats, so that servers stayed with it, unknown to all others. Both are one class: what a process must find out was asked only of processes that may know nothing. Change: voters keep the members' addresses on disk (record `members`) and tell their view to those, and to their seeds, that no relay has a session with; other agents tell it to their seeds (controlplane.announcer, relay.UnreachedAddrs). Same cause elsewhere: servers of an agent that is cut off are sent to others before the core drops them with its lease (TestServersOfAPartitionedAgentMoveToOthers).

--- a/internal/fleet/controlplane/discovery.go
+++ b/internal/fleet/controlplane/discovery.go
@@ -80,11 +80,12 @@
 	return addresses
 }
 
-// discoveryLoop bootstraps the first view where that is due, and then discovers newer views on
-// processes that get no heartbeats.
+// discoveryLoop bootstraps the first view where that is due. Then it discovers newer views on processes
+// that get no heartbeats, and announces the view to processes that may have nobody to ask.
 func (m *Member) discoveryLoop(ctx context.Context) {
 	m.bootstrapFirstView(ctx)
 	for ctx.Err() == nil {
+		m.informUnreached()
 		interval, due := m.nextDiscovery()
 		if due {
 			m.discoverView(ctx, "")
@@ -101,9 +102,13 @@
 		return firstDiscoveryInterval, true
 	}
 	now := time.Now()
+	interval = discoveryInterval
+	if now.Sub(m.pauses.resumedAt) < startupPeriod {
+		interval = firstDiscoveryInterval
+	}
 	recent := now.Sub(m.discovery.lastRequest) < discoveryInterval
 	// A voter learns of views by heartbeats, unless all voters that it knows were replaced.
 	informed := m.views.isVoter(m.self.ID) &&
 		(m.hasQuorumLocked(now) || now.Sub(m.pauses.resumedAt) < 2*peerTimeout)
-	return discoveryInterval, !informed && !recent
+	return interval, !informed && !recent
 }
--- a/internal/fleet/controlplane/member.go
+++ b/internal/fleet/controlplane/member.go
@@ -46,6 +46,7 @@
 	bootstrap       bootstrapState
 	diskMonitor     diskMonitor
 	discovery       viewDiscovery
+	announcer       announcer
 	leaving         bool           // Handover was called
 	loggedShortfall view.Shortfall // the last shortfall that was logged
 	sendingSnapshot bool           // a joining member is being sent the value
@@ -81,6 +82,7 @@
 		return nil, err
 	}
 	m.peers = newPeerTable(m.self.ID)
+	m.announcer = newAnnouncer()
 	m.proposer = newProposer(m.self.ID + "/" + m.incarnation)
 	if options.FirstStart && m.views.learned.Number == 0 {
 		m.bootstrap = newBootstrap(options.Seeds(), now)
--- a/internal/fleet/controlplane/options.go
+++ b/internal/fleet/controlplane/options.go
@@ -31,6 +31,9 @@
 	Seeds func() []string
 	// KnownAddresses are further addresses of voters; may be nil.
 	KnownAddresses func() []string
+	// Unreached returns the addresses of processes that may not know any view, to be told the learned
+	// one; may be nil.
+	Unreached func() []string
 	// Tolerance is the losses that the state has to survive.
 	Tolerance view.Tolerance
 	// Counted tells that the loss of this machine is one of those to be tolerated.
--- a/internal/fleet/controlplane/timing.go
+++ b/internal/fleet/controlplane/timing.go
@@ -90,7 +90,10 @@
 	retryDelay = 30 * time.Millisecond
 	// discoveryInterval is the time between two requests for a newer view.
 	discoveryInterval = 500 * time.Millisecond
-	// firstDiscoveryInterval is the same while no view is known.
+	// startupPeriod is how long after its start, or after a pause, a process looks more often for others
+	// to ask or to inform: many may have started with it.
+	startupPeriod = 3 * time.Second
+	// firstDiscoveryInterval is the same while no view is known, or in startupPeriod.
 	firstDiscoveryInterval = 150 * time.Millisecond
 )
 
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -29,6 +29,8 @@
 const (
 	// savedServersName is the name of the record with the saved server list.
 	savedServersName = "servers"
+	// savedMembersName is the name of the record with the members' addresses.
+	savedMembersName = "members"
 	// submitTimeout and readTimeout bound operators' calls: within a second they have an answer.
 	submitTimeout = 950 * time.Millisecond
 	readTimeout   = 900 * time.Millisecond
@@ -112,6 +114,7 @@
 		FirstStart:     current.FirstStart,
 		Seeds:          d.seedAddrs,
 		KnownAddresses: d.knownCoreAddrs,
+		Unreached:      d.unreachedAddrs,
 		Tolerance: view.Tolerance{
 			Machines: current.Tolerance.Machines,
 			Zones:    current.Tolerance.Zones,
@@ -151,6 +154,8 @@
 	if current.HasDisk() {
 		options.SaveServers = func(list []byte) error { return d.core.SaveRecord(savedServersName, list) }
 		options.SavedServers, _ = d.core.LoadRecord(savedServersName)
+		options.SaveMembers = func(list []byte) error { return d.core.SaveRecord(savedMembersName, list) }
+		options.SavedMembers, _ = d.core.LoadRecord(savedMembersName)
 	}
 	return relay.New(options)
 }
@@ -188,6 +193,14 @@
 	return addrs
 }
 
+// unreachedAddrs returns the agents' addresses that should be told the view.
+func (d *Daemon) unreachedAddrs() []string {
+	if d.relay == nil { // the core is opened before the relay
+		return nil
+	}
+	return d.relay.UnreachedAddrs()
+}
+
 // coreAdapter is the core as the relay sees it.
 type coreAdapter struct{ member *controlplane.Member }
 
--- a/internal/fleet/registry/expiry.go
+++ b/internal/fleet/registry/expiry.go
@@ -16,10 +16,11 @@
 )
 
 // Tick expires servers and reports. It returns the instances that the own source has to publish, and
-// the IDs of those that it has to withdraw, sorted.
-func (t *Table) Tick(now time.Duration) (updates []*Instance, withdrawn []string) {
+// the IDs of those that it has to withdraw, sorted. While suspended, no time passes for either: that
+// no call came proves nothing.
+func (t *Table) Tick(now time.Duration, suspended bool) (updates []*Instance, withdrawn []string) {
 	frozen := time.Duration(0)
-	if t.lastTick > 0 && now-t.lastTick > freezeThreshold {
+	if t.lastTick > 0 && (suspended || now-t.lastTick > freezeThreshold) {
 		frozen = now - t.lastTick
 	}
 	t.lastTick = now
--- a/internal/fleet/registry/table.go
+++ b/internal/fleet/registry/table.go
@@ -81,6 +81,16 @@
 	return list
 }
 
+// ReportedBy reports whether the report of a source on an instance counts.
+func (t *Table) ReportedBy(source, id string) bool {
+	e := t.entries[id]
+	if e == nil {
+		return false
+	}
+	_, reported := e.reports[source]
+	return reported
+}
+
 // LocalCount is the number of servers whose heartbeats come here.
 func (t *Table) LocalCount() int { return len(t.local) }
 
--- a/internal/fleet/relay/attachment.go
+++ b/internal/fleet/relay/attachment.go
@@ -16,7 +16,8 @@
 // attachment tracks whether what this process publishes reaches the core: it has a session with a
 // relay that has a quorum, or is one.
 type attachment struct {
-	attached bool
+	attached     bool
+	everAttached bool
 	// since is when attached last changed, or this process started.
 	since time.Duration
 	// nextLog is when an absence is logged next, and heartbeats counts those of servers since it began.
@@ -36,6 +37,7 @@
 	}
 	lost = now - a.since
 	a.attached, a.since = attached, now
+	a.everAttached = a.everAttached || attached
 	if attached {
 		return lost, true
 	}
@@ -43,6 +45,12 @@
 	return 0, false
 }
 
+// reachesCore reports whether what this process publishes reaches the core in time: it does, or did a
+// moment ago, so that the core has not ended this process's lease yet.
+func (a *attachment) reachesCore(now time.Duration) bool {
+	return a.attached || a.everAttached && now-a.since <= leaseDuration
+}
+
 // countHeartbeat counts a server's heartbeat that came while the core is not reached.
 func (a *attachment) countHeartbeat() {
 	if !a.attached {
--- a/internal/fleet/relay/attachment_test.go
+++ b/internal/fleet/relay/attachment_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // takesHeartbeat reports whether a node acknowledges a heartbeat of a ready server.
@@ -42,3 +43,29 @@
 	agent.runFor(time.Minute, nil)
 	assert.Contains(t, agent.snapshot.Servers.ByID, "s", "that a server was sent away is no sign that it is gone")
 }
+
+// The servers of an agent that is cut off from the core are sent to other agents before the core
+// drops them with the agent's lease.
+func TestServersOfAPartitionedAgentMoveToOthers(t *testing.T) {
+	cluster := newSyncedCluster(t, 3, 2)
+	home, other := cluster.edgeAgents[0], cluster.edgeAgents[1]
+	others := append(cluster.coreMembers[:3:3], other)
+	require.True(t, home.heartbeat(server("s", 1)))
+	cluster.eventually("all list the server", listsServer("s"))
+	home.setPartitioned(true, cluster.coreMembers...)
+	seq := uint64(1)
+	cluster.eventually("the server is sent away", func(agent *testAgent) bool {
+		seq++
+		return !agent.heartbeat(server("s", seq))
+	}, home)
+	source := home.node.items.OwnSource()
+	cluster.eventually("the agent is dropped, its server is not", func(agent *testAgent) bool {
+		seq++
+		require.True(t, other.heartbeat(server("s", seq)))
+		assert.True(t, listsServer("s")(agent), agent.Name)
+		agent.node.mu.Lock()
+		defer agent.node.mu.Unlock()
+		return agent.node.items.Ended(source) && !agent.node.servers.ReportedBy(source, "s")
+	}, others...)
+	assert.True(t, listsServer("s")(home))
+}
--- a/internal/fleet/relay/golden_test.go
+++ b/internal/fleet/relay/golden_test.go
@@ -19,3 +19,7 @@
 func TestGoldenOutput(t *testing.T) {
 	goldentest.Output[Report](t, goldentest.JSON, "report")
 }
+
+func TestGoldenSavedMembers(t *testing.T) {
+	goldentest.RoundTrip[savedMembers](t, goldentest.Msgpack, "saved-members")
+}
--- /dev/null
+++ b/internal/fleet/relay/memberaddrs.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// memberRetention is how long the address of an agent is remembered that is no member any more.
+	memberRetention = 10 * time.Minute
+	// maxMemberAddrs bounds the addresses that are remembered.
+	maxMemberAddrs = 2048
+	// savedMembersFormat identifies the encoding of savedMembers.
+	savedMembersFormat = 1
+)
+
+// memberAddrs remembers the addresses of agents that are or were members. After a restart of
+// everything the core calls them by it: agents without a disk may have nobody else to learn of the core
+// from.
+type memberAddrs struct {
+	lastSeen map[string]time.Duration // by address
+	version  uint64                   // rises when an address is added or forgotten
+}
+
+// savedMembers is the list of addresses as it is stored on disk.
+type savedMembers struct {
+	Format int      `msgpack:"f"`
+	Addrs  []string `msgpack:"a"` // sorted
+}
+
+// restore adds the addresses that an earlier incarnation saved; an unknown encoding adds none.
+func (a *memberAddrs) restore(now time.Duration, saved []byte) {
+	var list savedMembers
+	if len(saved) == 0 || msgpack.Unmarshal(saved, &list) != nil || list.Format != savedMembersFormat {
+		return
+	}
+	for _, addr := range list.Addrs[:min(len(list.Addrs), maxMemberAddrs)] {
+		if addr != "" && len(addr) <= maxNameBytes {
+			a.lastSeen[addr] = now
+		}
+	}
+}
+
+// observe records which addresses members have now, and forgets those that had none for long.
+func (a *memberAddrs) observe(now time.Duration, present map[string]bool) {
+	for addr := range present {
+		if _, known := a.lastSeen[addr]; !known {
+			if len(a.lastSeen) >= maxMemberAddrs && !a.forgetOldest(present) {
+				continue
+			}
+			a.version++
+		}
+		a.lastSeen[addr] = now
+	}
+	for addr, seen := range a.lastSeen {
+		if now-seen > memberRetention {
+			delete(a.lastSeen, addr)
+			a.version++
+		}
+	}
+}
+
+// forgetOldest forgets the address that has had no member for the longest time. It returns false if
+// all have one.
+func (a *memberAddrs) forgetOldest(present map[string]bool) bool {
+	oldest := ""
+	for addr, seen := range a.lastSeen {
+		if !present[addr] && (oldest == "" || seen < a.lastSeen[oldest]) {
+			oldest = addr
+		}
+	}
+	delete(a.lastSeen, oldest)
+	return oldest != ""
+}
+
+// absent returns the remembered addresses without a member, sorted.
+func (a *memberAddrs) absent(present map[string]bool) []string {
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(a.lastSeen)), func(addr string) bool { return present[addr] })
+}
+
+// encoded returns the stored form.
+func (a *memberAddrs) encoded() []byte {
+	return encode(&savedMembers{Format: savedMembersFormat, Addrs: slices.Sorted(maps.Keys(a.lastSeen))})
+}
+
+// presentAddrsLocked returns the addresses of the agents that some relay has a session with, this one's
+// included.
+func (n *Node) presentAddrsLocked() map[string]bool {
+	present := map[string]bool{n.options.Self.Addr: true}
+	for source, member := range n.members {
+		if n.leases.Granted(source) && !n.items.Ended(source) {
+			present[member.Addr] = true
+		}
+	}
+	return present
+}
+
+// observeMemberAddrsLocked records the members' addresses on a core member; others have no use for
+// them.
+func (n *Node) observeMemberAddrsLocked(now time.Duration, isMember bool) {
+	if isMember {
+		n.memberAddrs.observe(now, n.presentAddrsLocked())
+	}
+}
+
+// UnreachedAddrs returns the addresses of agents that should have a session with the core and have
+// none: the seeds, and on a member of the core all agents that were members. They may not know whom
+// to call. It is empty while this process itself does not reach the core, and cannot tell.
+func (n *Node) UnreachedAddrs() []string {
+	seeds, voters := n.options.SeedAddrs(), n.options.Core.Members()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.attachment.attached {
+		return nil
+	}
+	present := n.presentAddrsLocked()
+	for _, voter := range voters {
+		present[voter.Addr] = true // voters know each other by the view
+	}
+	unreached := slices.DeleteFunc(slices.Clone(seeds), func(addr string) bool { return present[addr] })
+	if n.options.Self.IsCore {
+		unreached = append(unreached, n.memberAddrs.absent(present)...)
+	}
+	slices.SortFunc(unreached, cmp.Compare[string])
+	return slices.Compact(unreached)
+}
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -60,6 +60,10 @@
 	// wrote. Both are nil on a machine without a disk.
 	SaveServers  func([]byte) error
 	SavedServers []byte
+	// SaveMembers writes the members' addresses to disk, and SavedMembers is what an earlier
+	// incarnation wrote. Both may be nil.
+	SaveMembers  func([]byte) error
+	SavedMembers []byte
 	// OnNotice receives the notices of other agents with their age. It is called with the node's lock
 	// held and may be nil.
 	OnNotice func(age time.Duration, notice *balancer.PrefillNotice)
@@ -87,6 +91,7 @@
 	members       map[string]Member // by source
 	leases        leaseManager
 	attachment    attachment
+	memberAddrs   memberAddrs
 	ends          endAnnouncements
 	departing     bool // this node has announced its own end
 	readiness     readiness
@@ -117,6 +122,8 @@
 		changed:       make(chan struct{}),
 	}
 	n.attachment = newAttachment(n.now())
+	n.memberAddrs = memberAddrs{lastSeen: map[string]time.Duration{}}
+	n.memberAddrs.restore(n.now(), options.SavedMembers)
 	n.items = deltasync.NewStore(n.newSourceName())
 	n.servers = registry.NewTable(n.items.OwnSource(), options.HeartbeatInterval)
 	n.changeLog.Subscribe(n.applyChangeLocked)
@@ -145,7 +152,7 @@
 	defer running.Wait()
 	running.Go(func() { n.dialLoop(ctx) })
 	if n.options.SaveServers != nil {
-		running.Go(func() { n.saveServers(ctx) })
+		running.Go(func() { n.saveLoop(ctx) })
 	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -169,11 +176,12 @@
 		n.options.Self.IsCore = isMember
 		n.publishMemberLocked()
 	}
-	n.expireServersLocked(now)
+	n.expireServersLocked(now, !n.attachment.reachesCore(now))
 	n.sessions.closeTimedOut(now)
 	n.configCache.expire(now)
 	n.leases.observeAttachment(now, n.sessions.hasResponsiveRelay(now))
 	n.observeAttachmentLocked(now, isMember && hasQuorum, members)
+	n.observeMemberAddrsLocked(now, isMember)
 	n.readiness.observeCore(now, isMember, hasQuorum)
 	n.selfStartLocked(now, members)
 	n.updateGrantedLeasesLocked(isMember)
--- a/internal/fleet/relay/savedservers.go
+++ b/internal/fleet/relay/savedservers.go
@@ -44,28 +44,47 @@
 	logevent.ServersRestored.Log("servers", len(list.Servers))
 }
 
-// saveServers writes the server list to disk as it changes, until ctx ends. A list that is empty, or
-// that was never complete, does not replace the saved one.
-func (n *Node) saveServers(ctx context.Context) {
+// saveLoop writes the server list and the members' addresses to disk as they change, until ctx ends.
+func (n *Node) saveLoop(ctx context.Context) {
 	ticker := time.NewTicker(saveInterval)
 	defer ticker.Stop()
-	savedVersion := uint64(0)
+	var savedServers, savedMembers uint64
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		n.mu.Lock()
-		list, synced := n.servers.List(), n.readiness.synced
-		n.mu.Unlock()
-		if !synced || list.Version == savedVersion || len(list.ByID) == 0 {
-			continue
-		}
-		if err := n.options.SaveServers(encodeServers(list)); err == nil { // else at the next tick
-			savedVersion = list.Version
-		}
+		savedServers = n.saveServers(savedServers)
+		savedMembers = n.saveMembers(savedMembers)
+	}
+}
+
+// saveServers writes the server list unless it has the version that is saved already, and returns the
+// version that is saved then. A list that is empty, or that was never complete, does not replace the
+// saved one.
+func (n *Node) saveServers(saved uint64) uint64 {
+	n.mu.Lock()
+	list, synced := n.servers.List(), n.readiness.synced
+	n.mu.Unlock()
+	if !synced || list.Version == saved || len(list.ByID) == 0 || n.options.SaveServers(encodeServers(list)) != nil {
+		return saved // what could not be written is written at the next tick
+	}
+	return list.Version
+}
+
+// saveMembers does the same with the members' addresses.
+func (n *Node) saveMembers(saved uint64) uint64 {
+	if n.options.SaveMembers == nil {
+		return saved
+	}
+	n.mu.Lock()
+	version, encoded := n.memberAddrs.version, n.memberAddrs.encoded()
+	n.mu.Unlock()
+	if version == saved || n.options.SaveMembers(encoded) != nil {
+		return saved
 	}
+	return version
 }
 
 // encodeServers returns the stored form of a server list.
--- a/internal/fleet/relay/servers.go
+++ b/internal/fleet/relay/servers.go
@@ -12,23 +12,31 @@
 const tableFullLogInterval = 10 * time.Second
 
 // Heartbeat takes a heartbeat of a server and reports whether it is acknowledged; a server whose
-// heartbeat is not acknowledged should call another agent. That a server drains is acknowledged
-// only once a majority of the core has it, or not at all if ctx ends before. Heartbeats of invalid
-// instances, and those of unknown servers while the table is full, are never acknowledged. The
-// instance must not be changed afterwards.
+// heartbeat is not acknowledged should call another agent. While this agent does not reach the core no
+// heartbeat is acknowledged: it is used here, but nobody else would learn of the server. That a server
+// drains is acknowledged only once a majority of the core has it, or not at all if ctx ends before.
+// Heartbeats of invalid instances, and those of unknown servers while the table is full, are never
+// acknowledged. The instance must not be changed afterwards.
 func (n *Node) Heartbeat(ctx context.Context, instance *registry.Instance) bool {
 	if !instance.Valid() {
 		return false
 	}
+	isMember, hasQuorum, members := n.options.Core.IsMember(), n.options.Core.HasQuorum(), n.options.Core.Members()
 	n.mu.Lock()
+	now := n.now()
+	n.observeAttachmentLocked(now, isMember && hasQuorum, members)
 	n.attachment.countHeartbeat()
-	update, err := n.servers.Heartbeat(n.now(), instance)
+	reachesCore := n.attachment.reachesCore(now)
+	update, err := n.servers.Heartbeat(now, instance)
 	published := n.publishServerLocked(instance.ID, update, err)
 	n.mu.Unlock()
 	if err != nil {
 		return false
 	}
-	return instance.State == registry.Ready || n.awaitQuorum(ctx, published)
+	if instance.State == registry.Ready {
+		return reachesCore
+	}
+	return n.awaitQuorum(ctx, published)
 }
 
 // Deregister takes that a server ends, and reports whether that is acknowledged, as Heartbeat does
@@ -58,9 +66,10 @@
 }
 
 // expireServersLocked publishes which servers have missed their heartbeats, and withdraws what the
-// own source need not report any more.
-func (n *Node) expireServersLocked(now time.Duration) {
-	updates, withdrawn := n.servers.Tick(now)
+// own source need not report any more. While servers are sent to other agents their silence here proves
+// nothing, so that nothing expires.
+func (n *Node) expireServersLocked(now time.Duration, suspended bool) {
+	updates, withdrawn := n.servers.Tick(now, suspended)
 	for _, instance := range updates {
 		logevent.ServerTimedOut.Log("id", instance.ID)
 		n.publishItemLocked(serverPrefix+instance.ID, encode(instance))
