Publish a repeated end of a server at each agent that is asked to acknowledge it

Change: registry.Table.adoptEnd publishes it in the own source, so that the acknowledgement waits for a majority of that. Also, the members' addresses are encoded only when they have changed. Measured: TestRepeatedEndIsPublishedByEveryAgentThatIsCalled and TestRepeatedEndAwaitsAQuorum fail before and pass after; go test -race of registry and relay passes.

--- a/internal/fleet/registry/calls.go
+++ b/internal/fleet/registry/calls.go
@@ -14,6 +14,9 @@
 		return nil, ErrFull
 	}
 	if e != nil && e.current != nil {
+		if e.current.State == Deregistered && instance.State == Draining {
+			return t.adoptEnd(now, e), nil
+		}
 		if e.current.State == Deregistered || e.current.State == Draining && instance.State == Ready {
 			return nil, nil
 		}
@@ -69,7 +72,7 @@
 	update = &Instance{ID: id, State: Deregistered}
 	if e != nil && e.current != nil {
 		if e.current.State == Deregistered {
-			return nil, nil
+			return t.adoptEnd(now, e), nil
 		}
 		ended := *e.current
 		ended.State = Deregistered
@@ -83,3 +86,16 @@
 	t.Report(now, t.ownSource, update)
 	return update, nil
 }
+
+// adoptEnd has the own source report the end of an instance, too, and returns what it has to publish;
+// nil if it has published that. Only what the own source reports can be known to have reached a
+// majority of the core.
+func (t *Table) adoptEnd(now time.Duration, e *entry) *Instance {
+	if own, reported := e.reports[t.ownSource]; reported && own.State == Deregistered {
+		return nil
+	}
+	ended := *e.current
+	delete(t.local, ended.ID)
+	t.Report(now, t.ownSource, &ended)
+	return &ended
+}
--- a/internal/fleet/registry/final_test.go
+++ b/internal/fleet/registry/final_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // A final state remains when its report is withdrawn while another source still reports an earlier state.
@@ -26,3 +27,33 @@
 		})
 	}
 }
+
+// An agent that acknowledges an end publishes it in its own source, also if it knows of the end from
+// another agent: only what the own source has can be known to have reached a majority of the core.
+func TestRepeatedEndIsPublishedByEveryAgentThatIsCalled(t *testing.T) {
+	t.Parallel()
+	for name, repeated := range map[string]func(*Table, time.Duration) *Instance{
+		"deregistered": func(table *Table, now time.Duration) *Instance {
+			update, err := table.Deregister(now, "s")
+			require.NoError(t, err)
+			return update
+		},
+		"draining": func(table *Table, now time.Duration) *Instance {
+			update, err := table.Heartbeat(now, &Instance{ID: "s", Service: "m", Addr: "s:1", Seq: 2, State: Draining})
+			require.NoError(t, err)
+			return update
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table, now := NewTable("self", time.Second), time.Minute
+			table.Report(now, "other", &Instance{ID: "s", Service: "m", Addr: "s:1", Seq: 3, State: Deregistered})
+			update := repeated(table, now)
+			require.NotNil(t, update)
+			assert.Equal(t, Deregistered, update.State)
+			assert.GreaterOrEqual(t, update.Seq, uint64(3))
+			assert.Nil(t, repeated(table, now), "it is published already")
+			table.Withdraw(now, "other", "s")
+			assert.True(t, table.ReportedBy("self", "s"))
+		})
+	}
+}
--- a/internal/fleet/relay/quorum_test.go
+++ b/internal/fleet/relay/quorum_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/deltasync"
+	"chalkdoor.example/chalkdoor/internal/fleet/registry"
 )
 
 // shortTimeout bounds calls that must not be acknowledged.
@@ -183,3 +184,18 @@
 	relay.deliver(other, &message{IsCore: true, Acknowledged: deltasync.Vector{relay.source(): relay.items.OwnVersion()}})
 	assert.True(t, relay.Heartbeat(t.Context(), drainingServer("s", 5)))
 }
+
+// That another agent published the end of a server does not show that a majority of the core has it.
+func TestRepeatedEndAwaitsAQuorum(t *testing.T) {
+	agent := newManualNode("a", false)
+	peer := agent.connect("addr of b", "b/1", true)
+	agent.deliver(peer, &message{IsCore: true, HasQuorum: true, QuorumVersion: agent.items.OwnVersion()})
+	ended := server("s", 3)
+	ended.State = registry.Deregistered
+	agent.deliver(peer, &message{IsCore: true, HasQuorum: true, Deltas: []deltasync.Delta{initialDelta("other/1", serverPrefix+"s", ended)}})
+	assert.False(t, agent.Deregister(timeoutContext(t, 50*time.Millisecond), "s"))
+	assert.False(t, agent.Heartbeat(timeoutContext(t, 50*time.Millisecond), drainingServer("s", 2)))
+	agent.deliver(peer, &message{IsCore: true, HasQuorum: true, QuorumVersion: agent.items.OwnVersion()})
+	assert.True(t, agent.Deregister(t.Context(), "s"))
+	assert.True(t, agent.Heartbeat(t.Context(), drainingServer("s", 2)))
+}
--- a/internal/fleet/relay/savedservers.go
+++ b/internal/fleet/relay/savedservers.go
@@ -79,9 +79,14 @@
 		return saved
 	}
 	n.mu.Lock()
-	version, encoded := n.memberAddrs.version, n.memberAddrs.encoded()
+	version := n.memberAddrs.version
+	if version == saved {
+		n.mu.Unlock()
+		return saved
+	}
+	encoded := n.memberAddrs.encoded()
 	n.mu.Unlock()
-	if version == saved || n.options.SaveMembers(encoded) != nil {
+	if n.options.SaveMembers(encoded) != nil {
 		return saved
 	}
 	return version
