Add a soak of the router fleet: overlapping faults from a seed, then a restart of everything

Cause: nothing that we play could have seen the incident RECOVER: one fault a play, no end of all processes, no check of what is served afterwards. Change: `fleetlab soak` plays, from a seed, series of overlapping faults of agents, servers and the operator on real processes, closes with the end of all of them (at once, the core first, or one disk lost) and checks the recovery, every read of the configuration, the ends within grace_s and the logs, besides the laboratory's rules. It reports when the first and the last agent reached each step.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -36,6 +36,7 @@
 
 type cli struct {
 	Play playCmd `name:"play" cmd:"" help:"Start a fleet, play clients, an operator and a fault, and print what came of it."`
+	Soak soakCmd `name:"soak" cmd:"" help:"Play series of overlapping faults drawn from seeds; each ends with a restart of everything and a check of the recovery."`
 }
 
 type playCmd struct {
@@ -71,21 +72,12 @@
 func (p *playCmd) Run(out io.Writer) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	dir := p.Dir
-	if dir == "" {
-		var err error
-		if dir, err = os.MkdirTemp("", "fleetlab-"); err != nil {
-			return errors.Wrap(err, "create the folder of the run")
-		}
-		defer os.RemoveAll(dir)
-	} else if err := os.MkdirAll(dir, 0o755); err != nil {
-		return errors.Wrap(err, "create the folder of the run")
-	}
-	dir, err := filepath.Abs(dir) // processes write below it
+	dir, remove, err := openDir(p.Dir)
 	if err != nil {
-		return errors.Wrap(err, "create the folder of the run")
+		return err
 	}
-	program, err := p.program(ctx, dir)
+	defer remove()
+	program, err := daemonProgram(ctx, p.Edged, dir)
 	if err != nil {
 		return err
 	}
@@ -111,10 +103,30 @@
 	return nil
 }
 
-// program returns the path of the daemon's program: the one of the flag, the one beside this program, or a new build.
-func (p *playCmd) program(ctx context.Context, dir string) (string, error) {
-	if p.Edged != "" {
-		return filepath.Abs(p.Edged)
+// openDir creates the folder of a run, and returns its absolute path, as processes write below it. Without
+// a name it is a temporary one, which remove removes.
+func openDir(name string) (dir string, remove func(), err error) {
+	remove = func() {}
+	if name == "" {
+		if dir, err = os.MkdirTemp("", "fleetlab-"); err != nil {
+			return "", nil, errors.Wrap(err, "create the folder of the run")
+		}
+		return dir, func() { _ = os.RemoveAll(dir) }, nil
+	}
+	if err = os.MkdirAll(name, 0o755); err == nil {
+		dir, err = filepath.Abs(name)
+	}
+	if err != nil {
+		return "", nil, errors.Wrap(err, "create the folder of the run")
+	}
+	return dir, remove, nil
+}
+
+// daemonProgram returns the path of the daemon's program: the given one, the one beside this program, or a new
+// build in a folder.
+func daemonProgram(ctx context.Context, given, dir string) (string, error) {
+	if given != "" {
+		return filepath.Abs(given)
 	}
 	if self, err := os.Executable(); err == nil {
 		sibling := filepath.Join(filepath.Dir(self), "edged")
--- a/internal/testbed/fleetlab/client.go
+++ b/internal/testbed/fleetlab/client.go
@@ -73,6 +73,7 @@
 // Outcome is the outcome of a request.
 type Outcome struct {
 	Class          *Class
+	StartedAt      time.Duration // of the first attempt
 	Verdict        Verdict
 	FailureReason  string // "" if served
 	Attempts       int
@@ -161,7 +162,7 @@
 	class := request.class
 	startedAt := c.now()
 	deadline := startedAt + class.Deadline
-	outcome := Outcome{Class: class}
+	outcome := Outcome{Class: class, StartedAt: startedAt}
 	var got []ReceivedEvent // of all attempts: a stream may be resumed
 	for {
 		outcome.Attempts++
