Test a start on a full disk, and why a request was rejected shows in failed fleet tests

TestCoreMachineIsKilled failed once beside a build (a repeatable request got 503 twice), and nothing told why. Change: TestStartOnAFullDisk and TestFirstStartOnAFullDisk, which pass on the code as it is; the full-disk tests share how they run in a process of their own. Agents of the laboratory's tests log each rejection, and a failed test prints those. The mutation of the announcements is found by a test of the control plane, as fleetlab builds its daemon outside of the overlay.

--- a/internal/fleet/controlplane/announce_test.go
+++ b/internal/fleet/controlplane/announce_test.go
@@ -60,3 +60,18 @@
 	require.Empty(t, announcer.byAddress)
 	require.Equal(t, []string{"a"}, announcer.due([]string{"a"}, maxAnnouncementDelay, now))
 }
+
+// After a restart of everything a process without a disk whose seeds know nothing is told the view.
+func TestViewIsToldToAProcessThatKnowsNobody(t *testing.T) {
+	t.Parallel()
+	cluster, client := bootstrapped(t, 3, 1)
+	client.submitInTime(1, 2)
+	diskless := cluster.nodes[3]
+	for _, node := range cluster.nodes {
+		node.kill()
+	}
+	cluster.seeds, cluster.unreached = []string{diskless.addr}, []string{diskless.addr}
+	cluster.startAll(false)
+	diskless.waitUntil("it knows the view", diskless.knowsView)
+	require.Equal(t, int64(2), client.read().Revision)
+}
--- a/internal/fleet/controlplane/cluster_test.go
+++ b/internal/fleet/controlplane/cluster_test.go
@@ -61,6 +61,7 @@
 	partitions        map[link]bool // what is sent in this direction is lost
 	partitionsChanged chan struct{} // closed when partitions change
 	unpushable        *testNode     // no push of a value reaches it
+	unreached         []string      // that all are to tell the view; immutable while nodes run
 	observeCall       callObserver
 }
 
@@ -193,6 +194,7 @@
 		HasDisk:        node.dir != "",
 		FirstStart:     firstStart,
 		Seeds:          func() []string { return cluster.seeds },
+		Unreached:      func() []string { return cluster.unreached },
 		Tolerance:      cluster.tolerance,
 		Counted:        true,
 		Pool:           pool,
--- a/internal/fleet/store/file_test.go
+++ b/internal/fleet/store/file_test.go
@@ -51,14 +51,8 @@
 	call()
 }
 
-// TestFullDisk runs in its own process, since the limit applies to all files of a process.
 func TestFullDisk(t *testing.T) {
-	const env = "STORE_TEST_FULL_DISK"
-	if os.Getenv(env) == "" {
-		command := exec.Command(os.Args[0], "-test.run=^TestFullDisk$", "-test.v")
-		command.Env = append(os.Environ(), env+"=1")
-		output, err := command.CombinedOutput()
-		require.NoError(t, err, "%s", output)
+	if !inOwnProcess(t) {
 		return
 	}
 	for space := range 40 {
@@ -90,3 +84,67 @@
 	require.Equal(t, "v1", get(s, "value"))
 	require.Equal(t, "m1", get(s, "more"))
 }
+
+// inOwnProcess runs a test in a process of its own, since the limit on file sizes applies to all files
+// of a process. It returns true in that process, whose own call has to make the checks.
+func inOwnProcess(t *testing.T) bool {
+	t.Helper()
+	const env = "STORE_TEST_OWN_PROCESS"
+	if os.Getenv(env) != "" {
+		return true
+	}
+	command := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$", "-test.v")
+	command.Env = append(os.Environ(), env+"=1")
+	output, err := command.CombinedOutput()
+	require.NoError(t, err, "%s", output)
+	return false
+}
+
+// A process that starts on a full disk has its records, and says that the disk takes no writes. It goes on
+// by itself once there is space, and if the disk is full again.
+func TestStartOnAFullDisk(t *testing.T) {
+	if !inOwnProcess(t) {
+		return
+	}
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	require.NoError(t, s.Put("value", []byte("v1")))
+	s.Close()
+	withFileSizeLimit(t, 0, func() {
+		s, _ = open(t, dir)
+		require.Equal(t, "v1", get(s, "value"))
+		require.Error(t, s.Put("value", []byte("v2")))
+		require.Positive(t, s.Health(time.Now()).FailingFor)
+		require.Equal(t, "v1", get(s, "value"), "a write that failed is not read")
+	})
+	require.NoError(t, s.Put("value", []byte("v3")))
+	require.Zero(t, s.Health(time.Now()).FailingFor)
+	withFileSizeLimit(t, 0, func() {
+		require.Error(t, s.Put("value", []byte("v4")))
+		require.Error(t, s.Probe())
+		require.Equal(t, "v3", get(s, "value"))
+	})
+	s.Close() // as a loss of power right after: nothing else is synced
+	s, report := open(t, dir)
+	require.False(t, report.Damaged)
+	require.Equal(t, "v3", get(s, "value"))
+}
+
+// The first start may find its disk full: the store has no records until there is space.
+func TestFirstStartOnAFullDisk(t *testing.T) {
+	if !inOwnProcess(t) {
+		return
+	}
+	dir := filepath.Join(t.TempDir(), "new")
+	var s *Store
+	withFileSizeLimit(t, 0, func() {
+		s, _ = open(t, dir)
+		require.Error(t, s.Put("id", []byte("x1")))
+		_, found := s.Get("id")
+		require.False(t, found)
+	})
+	require.NoError(t, s.Put("id", []byte("x2")))
+	s.Close()
+	s, _ = open(t, dir)
+	require.Equal(t, "x2", get(s, "id"))
+}
--- a/internal/testbed/fleetlab/agents.go
+++ b/internal/testbed/fleetlab/agents.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 
@@ -25,6 +26,9 @@
 	serverPort    = 8080
 )
 
+// maxLoggedRejections bounds the bytes of rejections.
+const maxLoggedRejections = 4000
+
 // Agent is one machine of the fleet with its process. Its methods may be called concurrently.
 type Agent struct {
 	Name, IP, Zone string
@@ -58,7 +62,7 @@
 	defer a.mu.Unlock()
 	env := []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), settings.EnvironmentVariable + "=" + path}
 	a.fleet.recorder.beginFault(Fault{Agent: a.IP, Core: a.Core, ProcessStart: true}, a.fleet.Now)()
-	p, err := a.fleet.processes.Start(process.Spec{Name: a.Name, Path: a.fleet.cfg.Program, Args: []string{"run"}, Env: env, Log: a.logPath()})
+	p, err := a.fleet.processes.Start(process.Spec{Name: a.Name, Path: a.fleet.cfg.Program, Args: []string{"run", "--verbosity", strconv.Itoa(a.fleet.cfg.Verbosity)}, Env: env, Log: a.logPath()})
 	if err != nil {
 		return errors.Wrap(err, a.Name)
 	}
@@ -88,6 +92,21 @@
 	return string(text[max(len(text)-1500, 0):])
 }
 
+// rejections are the lines of the process's log about requests that it rejected, the first ones.
+func (a *Agent) rejections() string {
+	text, err := os.ReadFile(a.logPath())
+	if err != nil {
+		return err.Error()
+	}
+	var lines []byte
+	for line := range bytes.Lines(text) {
+		if bytes.Contains(line, []byte("E320")) && len(lines) < maxLoggedRejections {
+			lines = append(lines, line...)
+		}
+	}
+	return string(lines)
+}
+
 // dataRace is the report of the race detector in the process's log; "" if there is none.
 func (a *Agent) dataRace() string {
 	text, err := os.ReadFile(a.logPath())
--- a/internal/testbed/fleetlab/fleet.go
+++ b/internal/testbed/fleetlab/fleet.go
@@ -34,6 +34,7 @@
 	Clients       int
 	Seed          uint64
 	MemoryMB      int
+	Verbosity     int // of the agents' logs
 	Bounds        Bounds
 	Engine        modelserver.EngineConfig
 	Classes       []*Class
--- a/internal/testbed/fleetlab/fleet_test.go
+++ b/internal/testbed/fleetlab/fleet_test.go
@@ -29,6 +29,7 @@
 	t.Cleanup(func() { <-fleetSlots })
 	cfg := DefaultConfig(agents, core, servers)
 	cfg.Program, cfg.Dir, cfg.Zones = daemonProgram, t.TempDir(), 2
+	cfg.Verbosity = 2 // tells why a request was rejected
 	b := &cfg.Bounds
 	b.Contact, b.Drain, b.HeartbeatInterval, b.Stabilization = 1500*time.Millisecond, 1200*time.Millisecond, 200*time.Millisecond, 2*time.Second
 	for _, c := range cfg.Classes { // latency on a busy machine is not tested here
@@ -45,7 +46,7 @@
 		l.Close()
 		if t.Failed() {
 			for _, a := range l.Agents {
-				t.Logf("%s (%s): %s", a.Name, a.IP, a.logTail())
+				t.Logf("%s (%s): rejected:\n%s\nlog: %s", a.Name, a.IP, a.rejections(), a.logTail())
 			}
 		}
 	})
--- a/internal/testbed/mutation/table.go
+++ b/internal/testbed/mutation/table.go
@@ -260,7 +260,7 @@
 		Packages: in(relayPackage), Tests: "^TestUnreachedAddrs$"},
 	{ID: "core-informs-nobody", Category: StaleState, File: "internal/fleet/controlplane/discovery.go",
 		Old: "		m.informUnreached()", New: "		_ = m.informUnreached",
-		Packages: in("./internal/testbed/fleetlab"), Tests: "^TestServiceRecoversWhereNoSeedHasADisk$"},
+		Packages: in(corePackage), Tests: "^TestViewIsToldToAProcessThatKnowsNobody$"},
 	{ID: "hub-drain-acknowledged-early", Category: StaleState, File: "internal/fleet/relay/quorum.go",
 		Old: "if s.peerIsCore && s.ownQuorumVersion >= version {", New: "if s.peerIsCore && s.ownReceived >= version {",
 		Packages: in(relayPackage), Tests: "^TestPartitionedDrainIsNotAcknowledged$|^TestMinorityAcknowledgesNoDrain$"},
