Record the outage of all agents in a soak before a shutdown in progress is cut short

A fault of the laboratory, not of the fleet. Change: the outage is recorded first; a fault that takes the place of another one ends it.

--- a/internal/testbed/fleetlab/agents.go
+++ b/internal/testbed/fleetlab/agents.go
@@ -126,6 +126,9 @@
 	defer a.mu.Unlock()
 	t.Agent, t.Core = a.IP, a.Core
 	a.stopping = true
+	if a.endFault != nil {
+		a.endFault() // this one takes its place
+	}
 	a.endFault = a.fleet.recorder.beginFault(t, a.fleet.Now)
 	return a.process
 }
--- a/internal/testbed/fleetlab/soak.go
+++ b/internal/testbed/fleetlab/soak.go
@@ -94,12 +94,12 @@
 // injectSeries injects all entries of the series at their times. It returns at the time of the closing,
 // once no injection starts or ends a process any more.
 func (s *soak) injectSeries(ctx context.Context) {
-	series, cancel := context.WithDeadline(ctx, time.Now().Add(s.startAt+s.plan.ClosingAt-s.fleet.Now()))
-	defer cancel()
+	series, cancel := context.WithCancel(ctx)
 	defer s.agentFaults.Wait()
+	defer cancel()
 	for i := range s.plan.Injections {
 		injection := &s.plan.Injections[i]
-		if !sleep(series, s.startAt+injection.At-s.fleet.Now()) {
+		if !sleep(ctx, s.startAt+injection.At-s.fleet.Now()) {
 			return
 		}
 		s.log("%v", injection)
@@ -109,7 +109,10 @@
 			s.others.Go(func() { s.reportError(injection, s.injectBeside(ctx, injection)) })
 		}
 	}
-	<-series.Done()
+	sleep(ctx, s.startAt+s.plan.ClosingAt-s.fleet.Now())
+	for _, agent := range s.fleet.Agents {
+		agent.beginOutage(Fault{}) // before a shutdown in progress is cut short
+	}
 }
 
 // reportError records the error of an injection, which is one of the fleet.
