--- a/internal/fleet/relay/leases_test.go
+++ b/internal/fleet/relay/leases_test.go
@@ -124,3 +124,22 @@
 	agent.runFor(time.Minute, agent.heartbeatFrom(next))
 	assert.Contains(t, agent.members, unreachable.source())
 }
+
+// After a restart of the core an agent that survived it replicates what it knows: the former relays granted
+// leases to each other and to agents. Nobody grants any of those now, however they grant each other.
+func TestLeasesOfAFormerCoreDoNotHoldEachOther(t *testing.T) {
+	relay := newManualNode("relay", true, Peer{Addr: "addr of relay"})
+	survivor := relay.connect("addr of survivor", "survivor/1", false)
+	relay.deliver(survivor, &message{Deltas: []deltasync.Delta{
+		initialDelta("survivor/1", memberKey, Member{Name: "survivor", Addr: "addr of survivor"}),
+		initialDelta("former-a/1", leasePrefix+"former-b/1", present, leasePrefix+"agent/1", present, leasePrefix+"survivor/1", present),
+		initialDelta("former-b/1", leasePrefix+"former-a/1", present),
+		initialDelta("agent/1", memberKey, Member{Name: "agent", Addr: "seed-1"}, serverPrefix+"s", server("s", 1)),
+	}})
+	relay.tick()
+	assert.Contains(t, relay.UnreachedAddrs(), "seed-1", "no relay has a session with it, so it is to be told the view")
+	relay.runFor(5*leaseDuration, relay.heartbeatFrom(survivor))
+	assert.ElementsMatch(t, []string{"former-a/1", "former-b/1", "agent/1"}, relay.publishedEndSources())
+	assert.NotContains(t, relay.snapshot.Servers.ByID, "s", "its agent has ended, and it calls no other")
+	assert.Equal(t, 2, relay.snapshot.Agents)
+}
