--- a/internal/testbed/modelserver/server.go
+++ b/internal/testbed/modelserver/server.go
@@ -135,6 +135,7 @@
 	}
 	s := &Server{cfg: cfg, id: "i-" + strconv.FormatUint(rand.Uint64(), 16), engine: NewEngine(cfg.Engine), epoch: time.Now(),
 		sinks: map[uint64]chan Output{}, wake: make(chan struct{}, 1), conns: map[net.Conn]bool{}}
+	s.past = []snapshot{{load: s.engine.Load()}} // what a report tells until its lag has passed
 	if cfg.Now == nil {
 		s.cfg.Now = func() time.Duration { return time.Since(s.epoch) }
 	}
--- a/internal/testbed/modelserver/server_test.go
+++ b/internal/testbed/modelserver/server_test.go
@@ -261,8 +261,19 @@
 	open[0].Close()
 }
 
-func TestReportIsOld(t *testing.T) {
-	s, _ := start(t, Config{ReportLag: time.Hour})
+func TestReportIsOld(t *testing.T) { checkOldReport(t, quick()) }
+
+// The report is as old while a request runs for many of its steps, also the first one.
+func TestReportIsOldWhileARequestRuns(t *testing.T) {
+	slow := quick()
+	slow.StepMs = 20
+	checkOldReport(t, slow)
+}
+
+// checkOldReport checks that a report with a long lag tells the load from before the first request.
+func checkOldReport(t *testing.T, engine EngineConfig) {
+	t.Helper()
+	s, _ := start(t, Config{ReportLag: time.Hour, Engine: engine})
 	_, err := events(t, ask(t, s, "a").Body)
 	require.NoError(t, err)
 	resp, err := http.Get("http://" + s.Addr() + ReportPath)
