Parse tenants, their keys and quotas, and keyless routes

Change: config.Tenant, lookup of a key by its digest, rank of tenant and route; settings of revocation and quotas.

--- a/internal/fleet/config/decode.go
+++ b/internal/fleet/config/decode.go
@@ -180,6 +180,8 @@
 		return decodeBool(&r.Affinity, key, value)
 	case "resumable":
 		return decodeBool(&r.Resumable, key, value)
+	case "keyless":
+		return decodeBool(&r.Keyless, key, value)
 	case "gap_aim_ms":
 		return decodeInt(&r.InterTokenTargetMs, key, value)
 	}
--- a/internal/fleet/config/document.go
+++ b/internal/fleet/config/document.go
@@ -40,6 +40,9 @@
 	if err := d.indexRoutes(); err != nil {
 		return nil, apierror.PrefixKey(err, "routes")
 	}
+	if d.hasTenants {
+		d.indexPriorities()
+	}
 	return d, nil
 }
 
@@ -56,6 +59,8 @@
 			services = value
 		case "limits":
 			return apierror.PrefixKey(d.decodeLimits(value), "limits")
+		case tenantsKey:
+			return apierror.PrefixKey(d.decodeTenants(value), tenantsKey)
 		default:
 			if isArray(value) {
 				return apierror.PrefixKey(validateItems(string(key), value), truncate(key))
--- a/internal/fleet/config/types.go
+++ b/internal/fleet/config/types.go
@@ -33,6 +33,7 @@
 	MaxAttempts        int     // at least 1
 	Affinity           bool
 	Resumable          bool
+	Keyless            bool  // requests need no API key
 	InterTokenTargetMs int64 // gap_aim_ms: between two tokens; 0: none
 }
 
@@ -77,6 +78,12 @@
 
 	raw    json.RawMessage     // as it is read back
 	byHost map[string][]*Route // longest prefix first
+
+	hasTenants  bool
+	tenants     map[string]*Tenant // by name
+	tenantByKey map[keyDigest]*Tenant
+	// The priorities of all tenants and of all routes, sorted.
+	tenantPriorities, routePriorities []int
 }
 
 // Raw returns the configuration as it was sent, unknown fields included. It may not be modified.
--- a/internal/fleet/config/validate.go
+++ b/internal/fleet/config/validate.go
@@ -38,9 +38,6 @@
 	return nil
 }
 
-// tenantsKey is the list whose items hold API keys.
-const tenantsKey = "tenants"
-
 // itemValidator checks a list whose items this package does not otherwise know.
 type itemValidator struct {
 	tenants     bool
--- a/internal/fleet/settings/defaults.go
+++ b/internal/fleet/settings/defaults.go
@@ -15,6 +15,8 @@
 	defaultRetryWindowS      = 10
 	defaultMemoryMB          = 128
 	defaultFDs               = 1024
+	defaultRevokeMs          = 5000
+	defaultQuotaWindowS      = 10
 )
 
 func setDefault[T int | int64 | float64](setting *T, value T) {
@@ -38,4 +40,6 @@
 	setDefault(&bounds.LossSlackMs, defaultLossSlackMs)
 	setDefault(&bounds.GraceS, defaultGraceS)
 	setDefault(&bounds.RetryWindowS, defaultRetryWindowS)
+	setDefault(&bounds.RevokeMs, defaultRevokeMs)
+	setDefault(&bounds.QuotaWindowS, defaultQuotaWindowS)
 }
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -31,6 +31,12 @@
 	maxSeeds     = 64
 )
 
+// The contracts on tenants.
+const (
+	ContractTenants = "tenants" // requests carry API keys
+	ContractQuota   = "quota"   // tenants have quotas
+)
+
 // The roles of ServesRole.
 const (
 	RoleEdge    = "edge"    // serves clients
@@ -108,6 +114,15 @@
 	RetrySlack    float64 `koanf:"retry-slack"`
 	RecoveryS     float64 `koanf:"recovery-s"`
 	PassMs        int64   `koanf:"pass_ms"`
+	// RevocationClosed tells that no request may run by an API key that was revoked over RevokeMs ago,
+	// whatever this process is cut off from.
+	RevocationClosed bool  `koanf:"revocation-closed"`
+	RevokeMs         int64 `koanf:"revoke-ms"`
+	// Within QuotaWindowS all agents together admit at most (rate x window + burst) x (1 +
+	// QuotaOvershoot) + QuotaSlack of a tenant, in the unit of its quota.
+	QuotaWindowS   float64 `koanf:"quota-window-s"`
+	QuotaOvershoot float64 `koanf:"quota-overshoot"`
+	QuotaSlack     float64 `koanf:"quota-slack"`
 }
 
 // Path returns the path of the settings file by the environment.
@@ -159,6 +174,11 @@
 	return s, nil
 }
 
+// HasContract returns whether a contract is active.
+func (s *Settings) HasContract(contract string) bool {
+	return slices.Contains(s.ActiveContracts, contract)
+}
+
 // ServesRole returns whether the process accepts connections of a role from outside the fleet.
 func (s *Settings) ServesRole(role string) bool { return slices.Contains(s.ServedRoles, role) }
 
