Let each process know up to when it has every acknowledged configuration

Cause: with revocation-closed no request may run by a key that was revoked too long ago, also at a machine that is cut off. Nothing is asked or answered where the contract is not active.

--- a/internal/fleet/controlplane/client.go
+++ b/internal/fleet/controlplane/client.go
@@ -113,6 +113,46 @@
 	return &readResponse{Value: value, OK: true}, nil
 }
 
+// Confirm is the sequence number of the newest acknowledged value, 0 if there is none: every value that
+// was acknowledged before the call has this or a lower one. It returns after RequestTimeout at the
+// latest, then with an *UnavailableError.
+func (m *Member) Confirm(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.options.RequestTimeout)
+	defer cancel()
+	request := routedRequest[confirmResponse]{
+		role: func(v view.View) view.Peer { return v.Tail().Peer },
+		send: m.confirmAt,
+	}
+	response := route(ctx, m, request, confirmResponse{Reason: ErrNoCore.Error()})
+	if !response.OK {
+		return 0, &UnavailableError{Reason: response.Reason}
+	}
+	return response.Seq, nil
+}
+
+func (m *Member) confirmAt(ctx context.Context, tail view.Peer) attemptResult[confirmResponse] {
+	var response *confirmResponse
+	var err error
+	if tail.ID == m.self.ID {
+		response, err = m.handleConfirm(ctx, &empty{})
+	} else {
+		response, err = call[empty, confirmResponse](ctx, m, tail.Addr, callConfirm, &empty{})
+	}
+	if err != nil {
+		return attemptResult[confirmResponse]{value: confirmResponse{Reason: err.Error()}}
+	}
+	return attemptResult[confirmResponse]{value: *response, final: response.OK, newer: response.Newer}
+}
+
+// handleConfirm answers as handleRead does, without the value.
+func (m *Member) handleConfirm(ctx context.Context, request *empty) (*confirmResponse, error) {
+	read, err := m.handleRead(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return &confirmResponse{Seq: read.Value.Seq, OK: read.OK, Newer: read.Newer, Reason: read.Reason}, nil
+}
+
 // routedRequest is a request that one process of the newest view answers.
 type routedRequest[T any] struct {
 	role func(view.View) view.Peer // the process that answers
--- a/internal/fleet/controlplane/golden_test.go
+++ b/internal/fleet/controlplane/golden_test.go
@@ -31,6 +31,7 @@
 	goldentest.RoundTrip[chain.Update](t, goldentest.Msgpack, "core.order-request")
 	goldentest.RoundTrip[submitResponse](t, goldentest.Msgpack, "core.order-answer")
 	goldentest.RoundTrip[readResponse](t, goldentest.Msgpack, "core.read-answer")
+	goldentest.RoundTrip[confirmResponse](t, goldentest.Msgpack, "core.confirm-answer")
 	goldentest.RoundTrip[valueResponse](t, goldentest.Msgpack, "core.value-answer")
 	goldentest.RoundTrip[announceRequest](t, goldentest.Msgpack, "core.announce-request")
 }
--- a/internal/fleet/controlplane/messages.go
+++ b/internal/fleet/controlplane/messages.go
@@ -18,6 +18,7 @@
 	callPush      = "core.push"
 	callSubmit    = "core.order"
 	callRead      = "core.read"
+	callConfirm   = "core.confirm"
 	callValue     = "core.value"
 	callAnnounce  = "core.announce"
 )
@@ -119,6 +120,15 @@
 	Reason string     `msgpack:"Why"` // if not OK
 }
 
+// confirmResponse answers a confirmation: a read without the value.
+type confirmResponse struct {
+	Seq uint64 `msgpack:"s"` // of the newest acknowledged value, 0: there is none; if OK
+	OK  bool   `msgpack:"o"`
+	// Newer is as in readResponse.
+	Newer  *view.View `msgpack:"n,omitempty"`
+	Reason string     `msgpack:"w,omitempty"` // if not OK
+}
+
 // valueResponse has the newest value that the receiver knows as committed; Seq 0: none.
 type valueResponse struct {
 	Value chain.Value `msgpack:"Value"`
@@ -134,6 +144,7 @@
 	rpc.HandleUnary(table, callPush, m.handlePush)
 	rpc.HandleUnary(table, callSubmit, m.handleSubmit)
 	rpc.HandleUnary(table, callRead, m.handleRead)
+	rpc.HandleUnary(table, callConfirm, m.handleConfirm)
 	rpc.HandleUnary(table, callValue, m.handleValue)
 	rpc.HandleUnary(table, callAnnounce, m.handleAnnounce)
 }
--- a/internal/fleet/logevent/catalogue.go
+++ b/internal/fleet/logevent/catalogue.go
@@ -24,12 +24,14 @@
 	FirstViewKnown         ID = 206
 	CoreUnreachable        ID = 207
 	CoreReachable          ID = 208
+	ConfigUnconfirmed      ID = 209
 	OwnLeaseExpired        ID = 210
 	LeaseExpired           ID = 211
 	ServerTimedOut         ID = 220
 	ServerTableFull        ID = 221
 	FirstServersListed     ID = 222
 	ServerListEmpty        ID = 223
+	ConfigConfirmed        ID = 212
 	SessionStarted         ID = 230
 	SessionSendFailed      ID = 231
 	SessionEnded           ID = 232
@@ -40,6 +42,7 @@
 	RequestsAborted    ID = 310
 	FirstRequestServed ID = 311
 	RequestRejected    ID = 320
+	QuotaExceeded      ID = 321
 	AmbiguousFraming   ID = 330
 )
 
@@ -82,6 +85,8 @@
 	{FirstViewKnown, "machines of the core known", "a step of the start: the process knows a view, from its disk or from another process; `after` counts from its start", noAction, levelAlways},
 	{CoreUnreachable, "no machine of the core can be reached", "the process has had no session with a relay that has a quorum for the time in `for`; `seeds` are the addresses that it asks, `members` the relays that it knows, none as long as it knows no view, and `heartbeats` counts the servers' heartbeats that came meanwhile", "on-call: check that the seeds run and that one of them knows the core (`edgectl --agent SEED view`); look for a partition", levelAlways},
 	{CoreReachable, "session with a relay that has a quorum", "a step of the start, or the end of an E207; `after` counts from the start of the process, `lost` is for how long there was none", noAction, levelAlways},
+	{ConfigUnconfirmed, "configuration is not confirmed by the core", "the process could not learn for the time in `for` whether its configuration is the newest; with `revocation-closed` it refuses requests with API keys, by 503, once that takes as long as `revoke-ms` allows", "on-call, if it lasts: look for a partition, and for E207", levelAlways},
+	{ConfigConfirmed, "configuration is confirmed by the core", "the end of an E209, or a step of the start: requests with API keys are served", noAction, levelAlways},
 	{OwnLeaseExpired, "own lease expired; continuing as a new incarnation", "the core ended this agent's lease while it was frozen or partitioned", "on-call, unless there is a network partition: check the machine's processor and links", levelAlways},
 	{LeaseExpired, "lease expired; member removed", "an agent had no session with the core for the duration of a lease", "on-call: check that machine", levelAlways},
 	{ServerTimedOut, "server timed out", "a server's heartbeats are overdue; it gets no requests until its next heartbeat", "on-call, if it does not return: check the server", levelControl},
@@ -95,6 +100,7 @@
 	{RequestsAborted, "requests aborted at the end of the grace period", "streams took longer than `grace-s`; `held` counts them", "platform, if it happens often: extend the grace period", levelAlways},
 	{FirstRequestServed, "first request served", "the last step of the start; `after` counts from the start of the process", noAction, levelAlways},
 	{RequestRejected, "request rejected", "a request got 503 with `Retry-After`; `why` names the missing capacity", "operator, if it happens often: add servers", levelRequests},
+	{QuotaExceeded, "request over its tenant's quota rejected", "a request got 429 with `Retry-After`; `tenant` names the tenant", "operator, if it happens often: raise the tenant's quota", levelRequests},
 	{AmbiguousFraming, "request with ambiguous framing rejected", "a client sent a request that HTTP implementations delimit in different ways; it got 400 and its connection was closed", "owner of the client: correct what `err` names", levelRequests},
 
 	{StateFileCorrupted, "state file is corrupted and was set aside; the machine rejoins as a new member", "records in the state file don't match their checksums", "on-call: replace the disk if it happens again; keep the `.damaged` file and examine it with `edgectl state verify`", levelAlways},
--- a/internal/fleet/relay/config.go
+++ b/internal/fleet/relay/config.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"time"
-
 	"github.com/vmihailenco/msgpack/v5"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/config"
@@ -53,7 +51,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.readiness.configCurrent = true
-	logevent.NewestConfigConfirmed.Log("after", n.now()-time.Second)
+	logevent.NewestConfigConfirmed.Log("after", n.now()-clockStart)
 }
 
 // applyConfigItemLocked puts a replicated configuration into force, unless it is older or invalid.
--- a/internal/fleet/relay/doc.go
+++ b/internal/fleet/relay/doc.go
@@ -16,6 +16,7 @@
 //   - sessionSet: the sessions, and what each peer has reported or acknowledged
 //   - upstreamSelector: which relays an agent dials
 //   - configCache: the last long configuration as it was encoded
+//   - freshness: up to when this process has every configuration that was acknowledged
 //   - noticeLimiter: the rate of prefill notices
 //
 // Those types do no I/O, and all but sessions are plain values: times go in, decisions come out.
--- a/internal/fleet/relay/member.go
+++ b/internal/fleet/relay/member.go
@@ -20,6 +20,8 @@
 	IsCore      bool   `msgpack:"c" json:"core"`    // it is a member of the core
 	Draining    bool   `msgpack:"e" json:"ending"`  // it is draining
 	ControlAddr string `msgpack:"o" json:"control"` // for calls of servers and operators
+	// QuotaDeputy: it admits requests by a part of a core member's share of the quotas.
+	QuotaDeputy bool `msgpack:"q,omitempty" json:"quota-deputy,omitempty"`
 }
 
 // publishMemberLocked publishes the own member entry.
@@ -60,6 +62,30 @@
 	return peers
 }
 
+// PublishQuotaDeputy publishes whether this agent is a deputy of a member of the core for the quotas.
+func (n *Node) PublishQuotaDeputy(deputy bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.options.Self.QuotaDeputy != deputy {
+		n.options.Self.QuotaDeputy = deputy
+		n.publishMemberLocked()
+	}
+}
+
+// QuotaHolders returns the addresses of those who admit requests by the quotas, the members of the core
+// and their deputies, in this agent's order of preference.
+func (n *Node) QuotaHolders() []string {
+	holders := slices.Clone(n.options.Core.Members())
+	n.mu.Lock()
+	for _, member := range n.members {
+		if member.QuotaDeputy && !member.Draining {
+			holders = append(holders, Peer{Addr: member.Addr, Zone: member.Zone})
+		}
+	}
+	n.mu.Unlock()
+	return slices.Compact(preferenceOrder(&n.options.Self, holders))
+}
+
 // AnnounceDraining publishes that this agent is about to end, so that servers are directed to others.
 func (n *Node) AnnounceDraining() {
 	n.mu.Lock()
--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -52,6 +52,12 @@
 	Acknowledged deltasync.Vector `msgpack:"v,omitempty"`
 	// QuorumVersion is the version of the receiver's own source that a majority of the core has.
 	QuorumVersion uint64 `msgpack:"p,omitempty"`
+	// FreshnessQuestion is when this message was sent, by the sender's clock in ms. A relay answers the
+	// newest one that came before it confirmed the configuration with the core, and FreshnessSeq is the
+	// configuration that the receiver must have for the answer to hold. See freshness.
+	FreshnessQuestion uint64 `msgpack:"q,omitempty"`
+	FreshnessAnswer   uint64 `msgpack:"t,omitempty"`
+	FreshnessSeq      uint64 `msgpack:"u,omitempty"`
 }
 
 // stream carries the messages of a session.
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -23,6 +23,8 @@
 	changeLogSize = 256
 	// maxLoggedBytes bounds the data that is retained of each of those changes.
 	maxLoggedBytes = 4 << 10
+	// clockStart is the time of the node's clock at its start.
+	clockStart = time.Second
 	// sessionCall is the name of the streaming call that carries a session.
 	sessionCall = "feed.session"
 )
@@ -73,6 +75,10 @@
 	// one, and again whenever that was lost meanwhile; lost is for how long. It is called with the
 	// node's lock held, so it must be short and must not call the node. It may be nil.
 	OnAttached func(lost time.Duration)
+	// ConfirmConfig returns the sequence number of the newest configuration that the core has
+	// acknowledged, confirmed with a majority after the call began. It is called by members of the
+	// core. If it is nil, this node neither asks nor answers how fresh its configuration is.
+	ConfirmConfig func(context.Context) (seq uint64, err error)
 	// Dialer opens the connections of sessions; nil means TCP.
 	Dialer rpc.Dialer
 }
@@ -95,6 +101,7 @@
 	ends          endAnnouncements
 	departing     bool // this node has announced its own end
 	readiness     readiness
+	freshness     freshness
 	sessions      sessionSet
 	upstream      upstreamSelector
 	configCache   configCache
@@ -120,6 +127,7 @@
 		noticeLimiter: rate.NewLimiter(0, noticeBurst*noticeSize),
 		tableFullLog:  rate.Sometimes{Interval: tableFullLogInterval},
 		changed:       make(chan struct{}),
+		freshness:     freshness{enabled: options.ConfirmConfig != nil, confirmWake: make(chan struct{}, 1)},
 	}
 	n.attachment = newAttachment(n.now())
 	n.memberAddrs = memberAddrs{lastSeen: map[string]time.Duration{}}
@@ -154,6 +162,9 @@
 	if n.options.SaveServers != nil {
 		running.Go(func() { n.saveLoop(ctx) })
 	}
+	if n.options.ConfirmConfig != nil {
+		running.Go(func() { n.confirmLoop(ctx) })
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -212,7 +223,7 @@
 }
 
 // now is the time on the node's monotonic clock, above zero.
-func (n *Node) now() time.Duration { return time.Since(n.startTime) + time.Second }
+func (n *Node) now() time.Duration { return time.Since(n.startTime) + clockStart }
 
 // notifyWaitersLocked wakes all who wait on changed.
 func (n *Node) notifyWaitersLocked() {
--- a/internal/fleet/relay/send.go
+++ b/internal/fleet/relay/send.go
@@ -30,6 +30,9 @@
 	// the message with all that the node had when it was.
 	lastStatus   status
 	heartbeatDue bool
+	// answered tells that a question on freshness was answered: the first answer is sent at once, the
+	// others with the next heartbeat.
+	answered bool
 }
 
 // sendLoop sends what the peer lacks as it changes, and heartbeats between, until ctx ends or sending
@@ -73,13 +76,15 @@
 		}
 	}
 	next := statusOf(update)
-	if !out.heartbeatDue && len(update.Deltas) == 0 && len(update.Acknowledged) == 0 && next == out.lastStatus {
+	firstAnswer := update.FreshnessAnswer > 0 && !out.answered
+	if !out.heartbeatDue && len(update.Deltas) == 0 && len(update.Acknowledged) == 0 && next == out.lastStatus && !firstAnswer {
 		return changed, nil
 	}
 	if err := out.stream.Send(update); err != nil {
 		return nil, err
 	}
 	out.lastStatus, out.heartbeatDue = next, false
+	out.answered = out.answered || firstAnswer
 	return changed, nil
 }
 
@@ -103,6 +108,7 @@
 	if update.IsCore && !s.peerIsCore {
 		update.QuorumVersion = n.quorumVersionLocked(s.source, members)
 	}
+	n.addFreshnessLocked(s, update)
 	return update, encodedConfig, n.changed
 }
 
@@ -114,7 +120,7 @@
 			return nil
 		case <-changed:
 			return nil
-		case <-out.session.quorumAdvanced:
+		case <-out.session.wake:
 			return nil
 		case <-heartbeat:
 			out.heartbeatDue = true
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -50,7 +50,9 @@
 	pendingAcks      map[string]bool  // sources of which it sent deltas that are not acknowledged yet
 	ownReceived      uint64           // version of the own source that the peer has
 	ownQuorumVersion uint64           // version of the own source that a majority has, as the peer reports
-	quorumAdvanced   chan struct{}    // wakes the sender when that of the peer's source has risen
+	wake             chan struct{}    // wakes the sender: something is due to this peer alone
+
+	freshness sessionFreshness
 
 	pendingNotices []notice
 	noticeTimer    *time.Timer // fires when the pending notices are to be sent
@@ -59,19 +61,19 @@
 // newSession returns a session with the peer that sent a hello. The caller stops its noticeTimer.
 func newSession(now time.Duration, peer *hello, peerAddr string, bytesReceived func() uint64, cancel context.CancelFunc) *session {
 	s := &session{
-		peerAddr:       peerAddr,
-		source:         peer.Source,
-		started:        now,
-		cancel:         cancel,
-		peerIsCore:     peer.IsCore,
-		lastQuorum:     now,
-		lastMessage:    now,
-		bytesReceived:  bytesReceived,
-		sent:           maps.Clone(peer.Vector),
-		acknowledged:   deltasync.Vector{},
-		pendingAcks:    map[string]bool{},
-		quorumAdvanced: make(chan struct{}, 1),
-		noticeTimer:    time.NewTimer(timerUnset),
+		peerAddr:      peerAddr,
+		source:        peer.Source,
+		started:       now,
+		cancel:        cancel,
+		peerIsCore:    peer.IsCore,
+		lastQuorum:    now,
+		lastMessage:   now,
+		bytesReceived: bytesReceived,
+		sent:          maps.Clone(peer.Vector),
+		acknowledged:  deltasync.Vector{},
+		pendingAcks:   map[string]bool{},
+		wake:          make(chan struct{}, 1),
+		noticeTimer:   time.NewTimer(timerUnset),
 	}
 	if s.sent == nil {
 		s.sent = deltasync.Vector{}
@@ -179,12 +181,16 @@
 // notifyQuorumAdvanced wakes the senders to the agent whose source a majority has a newer version of.
 func (set sessionSet) notifyQuorumAdvanced(source string) {
 	for s := range set {
-		if s.peerIsCore || s.source != source {
-			continue
-		}
-		select {
-		case s.quorumAdvanced <- struct{}{}:
-		default: // it has been woken already
+		if !s.peerIsCore && s.source == source {
+			s.wakeSender()
 		}
 	}
 }
+
+// wakeSender has the session's sender look for what its peer lacks.
+func (s *session) wakeSender() {
+	select {
+	case s.wake <- struct{}{}:
+	default: // it has been woken already
+	}
+}
--- a/internal/fleet/relay/testcluster_test.go
+++ b/internal/fleet/relay/testcluster_test.go
@@ -34,7 +34,8 @@
 	snapshot    atomic.Pointer[Snapshot]
 	savedList   atomic.Pointer[[]byte] // the saved server list, if there is one
 	seeds       func() []string
-	stop        func() // kills it: nothing is announced
+	confirm     func(context.Context) (uint64, error) // Options.ConfirmConfig
+	stop        func()                                // kills it: nothing is announced
 }
 
 // testCluster is a core of relays and agents beside it, over loopback.
@@ -148,7 +149,7 @@
 	backendAddr := listener.Addr().String()
 	a.backendAddr.Store(&backendAddr)
 	ctx, cancel := context.WithCancel(a.ctx)
-	options := Options{Self: a.Member, HeartbeatInterval: a.heartbeatInterval, Core: a.fakeCore, SeedAddrs: a.seeds}
+	options := Options{Self: a.Member, HeartbeatInterval: a.heartbeatInterval, Core: a.fakeCore, SeedAddrs: a.seeds, ConfirmConfig: a.confirm}
 	var last *Snapshot
 	options.OnChange = func(s *Snapshot) { // it is called in order
 		if last != nil {
--- a/internal/fleet/relay/upstream.go
+++ b/internal/fleet/relay/upstream.go
@@ -172,6 +172,12 @@
 	return len(order)
 }
 
+// PreferredMembers returns the addresses of the members of the core in this agent's order of preference:
+// those of its zone first, each group spread over the agents by a hash.
+func (n *Node) PreferredMembers() []string {
+	return preferenceOrder(&n.options.Self, n.options.Core.Members())
+}
+
 // preferenceOrder orders the addresses of relays for an agent: those of its zone first, each group
 // by a hash, so that the agents spread evenly.
 func preferenceOrder(self *Member, members []Peer) []string {
