--- a/cmd/edged/main.go
+++ b/cmd/edged/main.go
@@ -18,6 +18,7 @@
 	"chalkdoor.example/chalkdoor/internal/buildinfo"
 	"chalkdoor.example/chalkdoor/internal/fleet/daemon"
 	"chalkdoor.example/chalkdoor/internal/fleet/logevent"
+	"chalkdoor.example/chalkdoor/internal/fleet/reloadsignal"
 	"chalkdoor.example/chalkdoor/internal/fleet/settings"
 )
 
@@ -41,7 +42,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE) // a closed log pipe must not end the process
-	reload := reloadRequests()     // from here on SIGHUP does not end the process
+	reload := reloadRequests()
 	d, err := daemon.New(settings.Path())
 	if err != nil {
 		return err
@@ -49,14 +50,12 @@
 	return d.Run(ctx, reload)
 }
 
-// reloadRequests returns a channel that receives after each SIGHUP; signals that arrive before the
-// last one was received are merged.
+// reloadRequests returns a channel that receives after each SIGHUP, also those that came before the
+// call; signals that arrive before the last one was received are merged.
 func reloadRequests() <-chan struct{} {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
 	requests := make(chan struct{}, 1)
 	go func() { // for the lifetime of the process
-		for range signals {
+		for range reloadsignal.Requests() {
 			select {
 			case requests <- struct{}{}:
 			default:
