Authenticate requests by API keys and bound tenants by quotas over all agents

Change: the tenant of a key, 401, Chalkdoor-Tenant and stripped keys, 503 while keys can't be confirmed (gateway/tenant.go); quotas as shares of the core's members and one deputy of each (package quota).

--- a/cmd/edgectl/cli.go
+++ b/cmd/edgectl/cli.go
@@ -21,6 +21,7 @@
 	Status   inspectCommand `name:"status" cmd:"" help:"Print the status of an agent."`
 	Figures  inspectCommand `name:"figures" cmd:"" help:"Print the counters of an agent."`
 	Recovery inspectCommand `name:"recovery" cmd:"" help:"Print when an agent reached each step of its start."`
+	Quotas   inspectCommand `name:"quotas" cmd:"" help:"Print an agent's shares of the tenants' quotas."`
 	State    stateCommands  `name:"state" cmd:"" help:"State on disk."`
 	Version  versionCommand `name:"version" cmd:"" help:"Print the version."`
 }
--- a/internal/fleet/balancer/pick.go
+++ b/internal/fleet/balancer/pick.go
@@ -54,6 +54,10 @@
 	LatencyTarget   time.Duration // for the first token, from Elapsed 0; 0: none
 	Elapsed         time.Duration // since the request was read
 	Tried           []string      // IDs of the instances that it was offered to
+	// Ranked tells that Rank, from 0 to 9, counts in place of the route's priority: it combines that
+	// with the tenant's.
+	Ranked bool
+	Rank   int
 }
 
 // Action is what is to become of a request.
@@ -125,7 +129,7 @@
 		return reject(r, chosen.firstToken-max(r.LatencyTarget-r.Elapsed, 0)/2, reason)
 	}
 	attempt := p.beginAttempt(now, &pick, &chosen)
-	return Decision{Action: Forward, Instance: chosen.server.instance, Attempt: attempt, Priority: serverPriority(pick.priorityClass)}
+	return Decision{Action: Forward, Instance: chosen.server.instance, Attempt: attempt, Priority: pick.serverPriority()}
 }
 
 // beginAttempt records that the request is forwarded to the candidate.
@@ -161,6 +165,9 @@
 	pick := pickContext{Request: r}
 	if r.Route != nil {
 		pick.priorityClass = min(max(r.Route.Priority, 0), priorityClasses-1)
+		if r.Ranked {
+			pick.priorityClass = min(max(r.Rank, 0), priorityClasses-1)
+		}
 		pick.nonIdempotent = !r.Route.Idempotent()
 	}
 	p.prefixScratch = inference.AppendPrefixes(p.prefixScratch[:0], r.Model, r.Segments)
@@ -186,8 +193,17 @@
 	return min(c.TimeLeft, c.LatencyTarget-c.Elapsed)
 }
 
-// serverPriority is the priority that is sent to a server: 0 for the most urgent class, the servers'
-// default for the next, and up to 9 for those after it.
+// serverPriority is the priority that is sent to a server: the rank where there is one, otherwise that of
+// the class.
+func (c *pickContext) serverPriority() int {
+	if c.Ranked {
+		return min(c.priorityClass, maxServerPriority)
+	}
+	return serverPriority(c.priorityClass)
+}
+
+// serverPriority is 0 for the most urgent class, the servers' default for the next, and up to 9 for
+// those after it.
 func serverPriority(class int) int {
 	if class == 0 {
 		return 0
--- a/internal/fleet/controlapi/api.go
+++ b/internal/fleet/controlapi/api.go
@@ -30,7 +30,7 @@
 }
 
 // Resources are what an operator may inspect at an agent.
-var Resources = []string{"members", "servers", "view", "status", "figures", "recovery"}
+var Resources = []string{"members", "servers", "view", "status", "figures", "recovery", "quotas"}
 
 // Outcome is the outcome of a submitted configuration.
 type Outcome uint8
--- a/internal/fleet/daemon/control.go
+++ b/internal/fleet/daemon/control.go
@@ -137,6 +137,8 @@
 		return c.daemon.core.Status(), nil
 	case "recovery":
 		return c.daemon.recovery.report(), nil
+	case "quotas":
+		return c.daemon.quotaReport(), nil
 	case "figures":
 		return c.daemon.gateway.Counters.Values(), nil
 	default:
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"chalkdoor.example/chalkdoor/internal/fleet/controlplane"
 	"chalkdoor.example/chalkdoor/internal/fleet/gateway"
 	"chalkdoor.example/chalkdoor/internal/fleet/logevent"
+	"chalkdoor.example/chalkdoor/internal/fleet/quota"
 	"chalkdoor.example/chalkdoor/internal/fleet/relay"
 	"chalkdoor.example/chalkdoor/internal/fleet/rpc"
 	"chalkdoor.example/chalkdoor/internal/fleet/settings"
@@ -46,7 +47,8 @@
 
 // knownContracts are the values of active-contracts that this version knows.
 var knownContracts = map[string]bool{"base": true, "drain": true, "config": true, "cost": true, "retry": true, "recover": true,
-	"engine": true, "stream": true}
+	"health": true, "pool": true, "engine": true, "stream": true,
+	settings.ContractTenants: true, settings.ContractQuota: true}
 
 // Daemon is one process. Run may be called once.
 type Daemon struct {
@@ -56,6 +58,7 @@
 	core          *controlplane.Member
 	relay         *relay.Node
 	gateway       *gateway.Gateway
+	quotaBroker   *quota.Broker // nil where the contract on quotas is not active
 	controlServer *controlapi.Server
 	recovery      *recoveryTracker
 	draining      atomic.Bool // set once the process has begun to shut down
@@ -76,7 +79,9 @@
 	if d.core, err = d.openCore(current); err != nil {
 		return nil, errors.Wrap(err, "open the control state")
 	}
+	d.openQuotas(current)
 	d.relay = d.newRelay(current)
+	d.gateway.KeysFreshAsOf = d.relay.ConfigFreshAsOf
 	d.gateway.OnSent = d.relay.BroadcastNotice
 	d.gateway.OnFirstServed = d.recovery.requestServed
 	d.controlServer = controlapi.NewServer(&controlBackend{d}, controlapi.Options{SubmitTimeout: submitTimeout, ReadTimeout: readTimeout})
@@ -151,6 +156,9 @@
 		OnNotice:          d.gateway.ObserveRemotePrefill,
 		LinkMbps:          current.Limits.LinkMbps,
 	}
+	if confirmsConfig(current) {
+		options.ConfirmConfig = d.core.Confirm
+	}
 	if current.HasDisk() {
 		options.SaveServers = func(list []byte) error { return d.core.SaveRecord(savedServersName, list) }
 		options.SavedServers, _ = d.core.LoadRecord(savedServersName)
@@ -162,6 +170,9 @@
 
 // applySnapshot puts a new snapshot into force.
 func (d *Daemon) applySnapshot(snapshot *relay.Snapshot) {
+	if d.quotaBroker != nil && snapshot.Config != nil && snapshot.Config != d.gateway.Config() {
+		d.quotaBroker.Update(snapshot.Config)
+	}
 	d.gateway.Update(snapshot)
 	d.recovery.snapshotChanged(snapshot)
 }
--- a/internal/fleet/daemon/run.go
+++ b/internal/fleet/daemon/run.go
@@ -20,7 +20,7 @@
 	// and for closing the state on disk.
 	departureReserve = 700 * time.Millisecond
 	// maxComponents bounds the components that can fail: none of them blocks on reporting its error.
-	maxComponents = 8
+	maxComponents = 9
 )
 
 // components are the parts of a process that run beside each other. The first error of one ends all.
@@ -75,7 +75,13 @@
 	handlers := rpc.NewMux()
 	d.core.RegisterHandlers(handlers)
 	d.relay.RegisterHandlers(handlers)
+	if d.quotaBroker != nil {
+		d.quotaBroker.RegisterHandlers(handlers)
+	}
 	started.start("peers", func() error { return rpc.Serve(ctx, opened.peers, handlers) })
+	if d.quotaBroker != nil {
+		started.start("quotas", func() error { return d.quotaBroker.Run(ctx) })
+	}
 	started.start("core", func() error { return d.core.Run(ctx) })
 	started.start("relay", func() error { return d.relay.Run(ctx) })
 	started.start("gateway", func() error { return d.gateway.Run(ctx) })
--- a/internal/fleet/gateway/counters.go
+++ b/internal/fleet/gateway/counters.go
@@ -14,6 +14,10 @@
 	Resumed           atomic.Int64 // streams that continued at another server
 	Retries           atomic.Int64 // further sends, counted against the retry budget
 	ClientDisconnects atomic.Int64 // clients that left before their response was complete
+	Unauthorized      atomic.Int64 // 401: no API key, or one that no tenant holds; among Rejected
+	OverQuota         atomic.Int64 // 429: over the tenant's quota
+	Unconfirmed       atomic.Int64 // 503 as API keys could not be confirmed; among Refused
+	QuotaUnavailable  atomic.Int64 // 503 as no member of the core told of the quota; among Refused
 }
 
 // countServed counts a request that was served.
@@ -35,5 +39,10 @@
 		"resumed":  c.Resumed.Load(),
 		"repeats":  c.Retries.Load(),
 		"left":     c.ClientDisconnects.Load(),
+
+		"unauthorized":      c.Unauthorized.Load(),
+		"over-quota":        c.OverQuota.Load(),
+		"unconfirmed":       c.Unconfirmed.Load(),
+		"quota-unavailable": c.QuotaUnavailable.Load(),
 	}
 }
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/balancer"
+	"chalkdoor.example/chalkdoor/internal/fleet/config"
 	"chalkdoor.example/chalkdoor/internal/fleet/relay"
 	"chalkdoor.example/chalkdoor/internal/fleet/retrybudget"
 	"chalkdoor.example/chalkdoor/internal/fleet/settings"
@@ -41,6 +42,7 @@
 // Gateway serves the requests of clients. All its methods are safe for concurrent use.
 type Gateway struct {
 	startedAt  time.Time
+	keyMaxAge  time.Duration // for how long API keys may be unconfirmed; 0: for ever
 	pool       *pool
 	bodyMemory *semaphore.Weighted // bytes of request bodies
 	server     *http.Server
@@ -65,6 +67,13 @@
 	// OnFirstServed, if set, is called once the first request was served. It must be set before Serve.
 	OnFirstServed func()
 
+	// KeysFreshAsOf returns a time such that the snapshot has every configuration that was acknowledged
+	// before it. It must be set before Serve where revocation is closed, and may not block.
+	KeysFreshAsOf func() time.Time
+
+	// Quota, if set, admits the requests of tenants that have a quota. It must be set before Serve.
+	Quota QuotaClient
+
 	// OnSent, if set, is called with each request that was sent to a server and the estimated time
 	// for which it occupies the server's prefill. It must be set before Serve and must not block.
 	OnSent func(notice balancer.PrefillNotice, prefill time.Duration)
@@ -86,6 +95,9 @@
 		picker:          balancer.New(balancer.Options{Zone: nodeSettings.Zone, Seed: seed}),
 		retryBudget:     retrybudget.New(bounds.RetryRatio, retryWindow, bounds.RetrySlack),
 	}
+	if bounds.RevocationClosed {
+		g.keyMaxAge = max(time.Duration(bounds.RevokeMs)*time.Millisecond-revokeMargin, minKeyMaxAge)
+	}
 	g.snapshot.Store(&relay.Snapshot{})
 	g.server = &http.Server{
 		Handler:                      g,
@@ -134,6 +146,9 @@
 	return snapshot.Synced && snapshot.Config != nil && snapshot.Servers != nil && len(snapshot.Servers.ByID) > 0
 }
 
+// Config returns the configuration in force, nil before the first.
+func (g *Gateway) Config() *config.Document { return g.snapshot.Load().Config }
+
 // Servable reports whether requests can be served.
 func (g *Gateway) Servable() bool { return isServable(g.snapshot.Load()) }
 
--- a/internal/fleet/gateway/handler.go
+++ b/internal/fleet/gateway/handler.go
@@ -32,6 +32,10 @@
 	reasonMemory   = "memory"
 	reasonAttempts = "attempts"
 	reasonBudget   = "budget"
+	// reasonUnconfirmed: an API key may have been revoked without this process knowing it.
+	reasonUnconfirmed = "unconfirmed"
+	// reasonQuota: no member of the core told whether the tenant's quota allows the request.
+	reasonQuota = "quota"
 )
 
 // ServeHTTP gives one request its final response. It panics with http.ErrAbortHandler where a
@@ -39,6 +43,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	receivedAt := time.Now()
 	g.Counters.Requests.Add(1)
+	confirmed := g.keysConfirmed(receivedAt) // of what is loaded after it
 	snapshot := g.snapshot.Load()
 	if !isServable(snapshot) {
 		snapshot = g.waitServable(req.Context())
@@ -47,6 +52,12 @@
 			return
 		}
 	}
+	if !confirmed && snapshot.Config.HasTenants() {
+		w.Header().Set("Connection", "close") // the client finds an agent that is not cut off
+		g.Counters.Unconfirmed.Add(1)
+		g.refuse(w, defaultRetryAfter, reasonUnconfirmed)
+		return
+	}
 	r, err := g.receive(w, req, snapshot, receivedAt)
 	if err != nil {
 		g.rejectOrRefuse(w, err)
@@ -72,8 +83,13 @@
 			return
 		}
 	}
+	if !g.admitByQuota(req.Context(), w, r) {
+		return
+	}
 	defer limitWriteTime(w, r.deadline.Add(finalWriteTimeout))()
-	g.forward(req.Context(), w, r)
+	if !g.forward(req.Context(), w, r) {
+		g.returnQuota(r)
+	}
 }
 
 // receive parses a request and reads its body.
@@ -127,11 +143,15 @@
 func (g *Gateway) refuse(w http.ResponseWriter, retryAfter time.Duration, reason string) {
 	g.Counters.Refused.Add(1)
 	logevent.RequestRejected.Log("why", reason, "after", retryAfter)
-	seconds := max(retryAfter, minRetryAfter).Seconds()
-	w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
+	setRetryAfter(w, max(retryAfter, minRetryAfter))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// setRetryAfter tells the client when to come back.
+func setRetryAfter(w http.ResponseWriter, retryAfter time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+}
+
 // reject answers an invalid request with the status of its requestError.
 func (g *Gateway) reject(w http.ResponseWriter, err error) {
 	g.Counters.Rejected.Add(1)
@@ -140,7 +160,10 @@
 	if errors.As(err, &invalid) {
 		status = invalid.status
 	}
-	if status != http.StatusNotFound {
+	if status == http.StatusUnauthorized {
+		g.Counters.Unauthorized.Add(1)
+	}
+	if status != http.StatusNotFound && status != http.StatusUnauthorized {
 		// Bound the wait for the rest of a body, which net/http would read.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(rejectedBodyTimeout))
 		w.Header().Set("Connection", "close")
--- a/internal/fleet/gateway/header.go
+++ b/internal/fleet/gateway/header.go
@@ -18,6 +18,10 @@
 	// headerExpectVersion the one that a request is to be executed with.
 	headerVersions      = "Versions"
 	headerExpectVersion = "Expect-Version"
+	// headerAPIKey is the key of a client, which no server sees, headerTenant the name of its tenant,
+	// which only the gateway sets.
+	headerAPIKey = "Api-Key"
+	headerTenant = "Chalkdoor-Tenant"
 )
 
 // uniqueFields may stand in a request once: repeated ones are ambiguous.
--- a/internal/fleet/gateway/lifecycle.go
+++ b/internal/fleet/gateway/lifecycle.go
@@ -89,7 +89,7 @@
 // ServeReadiness answers a readiness probe with 200, or with 503 while requests can't be served or
 // the gateway shuts down. It takes no lock, so that it answers at once under any load.
 func (g *Gateway) ServeReadiness(w http.ResponseWriter, _ *http.Request) {
-	if g.shuttingDown.Load() || !g.Servable() {
+	if g.shuttingDown.Load() || !g.Servable() || !g.keysConfirmed(time.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/fleet/gateway/request.go
+++ b/internal/fleet/gateway/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/balancer"
+	"chalkdoor.example/chalkdoor/internal/fleet/config"
 	"chalkdoor.example/chalkdoor/internal/fleet/relay"
 )
 
@@ -32,6 +33,9 @@
 	receivedAt    time.Time
 	deadline      time.Time
 	lastEventID   string // of a stream that the client resumes; "" if none
+	config        *config.Document
+	hidesKeys     bool           // API keys and names of tenants are not the client's to send
+	tenant        *config.Tenant // nil: none is needed, and none is known
 }
 
 // requestError is an invalid request, and the status with which it is answered.
@@ -66,6 +70,10 @@
 	if err := checkFields(header); err != nil {
 		return nil, err
 	}
+	tenant, err := authenticate(header, snapshot.Config, route)
+	if err != nil {
+		return nil, err
+	}
 	r := &request{
 		attemptID:   header.Get(headerAttemptID),
 		method:      req.Method,
@@ -74,6 +82,9 @@
 		header:      header,
 		receivedAt:  receivedAt,
 		lastEventID: header.Get(headerLastEventID),
+		config:      snapshot.Config,
+		hidesKeys:   snapshot.Config.HasTenants(),
+		tenant:      tenant,
 	}
 	timeout := time.Duration(route.TimeoutMs) * time.Millisecond
 	r.deadline = receivedAt.Add(clientTimeout(header.Get(headerDeadline), min(timeout, maxRequestTimeout)))
@@ -82,6 +93,9 @@
 	r.PromptTokens, r.MaxOutputTokens = parseTokenCount(header.Get(headerTokenCount))
 	r.Segments = parsePromptSegments(header.Get(headerPromptPrefix))
 	r.Service = chooseService(route)
+	if snapshot.Config.HasTenants() {
+		r.Ranked, r.Rank = true, snapshot.Config.Rank(tenant, route)
+	}
 	return r, nil
 }
 
--- a/internal/fleet/gateway/retry.go
+++ b/internal/fleet/gateway/retry.go
@@ -37,8 +37,8 @@
 }
 
 // forward sends a request to one server after the other until one has answered or no further attempt
-// is allowed.
-func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, r *request) {
+// is allowed. It returns false if it is certain that no server has executed it.
+func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, r *request) bool {
 	response := newClientResponse(w, r.lastEventID)
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
@@ -50,20 +50,20 @@
 		decision, ok := g.pick(r)
 		if !ok {
 			g.finishUnanswered(response, r, &history, decision.RetryAfter, decision.Reason)
-			return
+			return history.mayHaveExecuted
 		}
 		result := g.attempt(ctx, response, r, decision)
 		r.Tried = append(r.Tried, decision.Instance.ID)
 		switch result {
 		case outcomeAnswered:
-			return
+			return true
 		case outcomeClientDisconnected:
 			panic(http.ErrAbortHandler) // what the client has of a response must not look complete
 		}
 		history.add(result)
 		if reason, ok := g.mayRetry(ctx, response, r, &history); !ok {
 			g.finishUnanswered(response, r, &history, defaultRetryAfter, reason)
-			return
+			return history.mayHaveExecuted
 		}
 		if response.headerSent {
 			g.Counters.Resumed.Add(1)
@@ -96,6 +96,7 @@
 		history.sent >= max(r.Route.MaxAttempts, 1),
 		history.connectFailures >= maxConnectFailures,
 		ctx.Err() != nil,
+		!g.stillAllowed(r),
 		!response.headerSent && time.Until(r.deadline) < minAttemptTime:
 		return reasonAttempts, false
 	}
--- a/internal/fleet/gateway/upstreamhead.go
+++ b/internal/fleet/gateway/upstreamhead.go
@@ -42,6 +42,7 @@
 	if fields.priority != clientPriority {
 		header.Set(headerPriority, strconv.Itoa(fields.priority))
 	}
+	r.setTenant(header)
 	if fields.lastEventID != "" {
 		header.Set(headerLastEventID, fields.lastEventID)
 	}
--- /dev/null
+++ b/internal/fleet/quota/broker_test.go
@@ -0,0 +1,302 @@
+package quota
+
+import (
+	"context"
+	"math"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chalkdoor.example/chalkdoor/internal/fleet/config"
+	"chalkdoor.example/chalkdoor/internal/fleet/rpc"
+	"chalkdoor.example/chalkdoor/internal/leaktest"
+)
+
+func TestMain(m *testing.M) { leaktest.Main(m) }
+
+// testProcess is one process of a fleet over loopback.
+type testProcess struct {
+	fleet     *testFleet
+	addr      string
+	isMember  bool
+	confirmed atomic.Bool
+	isDeputy  atomic.Bool // as published
+	broker    *Broker
+	client    *Client
+	stop      func()
+}
+
+// IsMember implements Core.
+func (p *testProcess) IsMember() bool { return p.isMember }
+
+// Confirmed implements Core.
+func (p *testProcess) Confirmed() bool { return p.confirmed.Load() }
+
+// HolderAddrs implements Core.
+func (p *testProcess) HolderAddrs() []string {
+	holders := slices.Clone(p.fleet.members)
+	for _, other := range p.fleet.all {
+		if other.isDeputy.Load() {
+			holders = append(holders, other.addr)
+		}
+	}
+	return holders
+}
+
+// PublishDeputy implements Core.
+func (p *testProcess) PublishDeputy(deputy bool) { p.isDeputy.Store(deputy) }
+
+// MemberAddrs implements Core.
+func (p *testProcess) MemberAddrs() []string { return p.fleet.members }
+
+// testFleet is members of the core and agents beside them.
+type testFleet struct {
+	t       *testing.T
+	members []string
+	all     []*testProcess
+}
+
+func newTestFleet(t *testing.T, members, agents int, document string) *testFleet {
+	fleet := &testFleet{t: t}
+	parsed, err := config.Parse([]byte(document))
+	require.NoError(t, err)
+	for i := range members + agents {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		process := &testProcess{fleet: fleet, addr: listener.Addr().String(), isMember: i < members}
+		if process.isMember {
+			fleet.members = append(fleet.members, process.addr)
+		}
+		process.confirmed.Store(process.isMember)
+		fleet.all = append(fleet.all, process)
+		process.start(listener, parsed)
+	}
+	return fleet
+}
+
+func (p *testProcess) start(listener net.Listener, document *config.Document) {
+	pool := rpc.NewPool()
+	options := Options{Bounds: testBounds, SelfAddr: p.addr, Core: p, Pool: pool}
+	p.broker = NewBroker(options)
+	p.broker.deputy = deputy{} // no earlier process has run here
+	p.broker.Update(document)
+	p.client = NewClient(options, p.broker)
+	table := rpc.NewMux()
+	p.broker.RegisterHandlers(table)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = rpc.Serve(ctx, listener, table) })
+	p.stop = sync.OnceFunc(func() {
+		cancel()
+		pool.Close()
+		running.Wait()
+	})
+	p.fleet.t.Cleanup(p.stop)
+}
+
+const quotaDocument = `{"revision":1,"services":[],"routes":[],"tenants":[
+ {"name":"t","api-keys":["k"],"count-unit":"token_meter","rate-per-s":%RATE%,"burst":0},
+ {"name":"free","api-keys":["f"]}]}`
+
+// smallQuota has next to no rate, so that a test's time does not matter.
+func smallQuota() string { return replaceRate("1") }
+
+func replaceRate(rate string) string {
+	const mark = "%RATE%"
+	for i := range quotaDocument {
+		if quotaDocument[i] == '%' {
+			return quotaDocument[:i] + rate + quotaDocument[i+len(mark):]
+		}
+	}
+	return quotaDocument
+}
+
+// startTotal is what all members together have at their start.
+func startTotal() float64 { return startShare * testBounds.tolerance(Limit{RatePerS: 1}) }
+
+// An agent's requests are admitted by the shares of all members, whichever it asks, and no further.
+func TestSharesAreDrawnTogether(t *testing.T) {
+	fleet := newTestFleet(t, 5, 1, smallQuota())
+	agent := fleet.all[5]
+	amount := startTotal() / 2.01 // more than two members have
+	ctx := context.Background()
+	require.Equal(t, Admitted, agent.client.Admit(ctx, "t", amount).Verdict)
+	require.Equal(t, Admitted, agent.client.Admit(ctx, "t", amount).Verdict)
+	decision := agent.client.Admit(ctx, "t", amount)
+	require.Equal(t, Exhausted, decision.Verdict)
+	require.Positive(t, decision.RetryAfter)
+	require.Equal(t, Exhausted, agent.client.Admit(ctx, "t", amount).Verdict)
+	member := fleet.all[0]
+	require.Equal(t, Exhausted, member.client.Admit(ctx, "t", amount).Verdict, "a member's own requests count as well")
+	agent.client.Return("t", amount)
+	require.Equal(t, Admitted, agent.client.Admit(ctx, "t", amount).Verdict, "what was not used may be")
+	require.Positive(t, fleet.all[0].broker.Report().Rejected["t"])
+}
+
+// Concurrent requests through all members admit no more than the shares have.
+func TestConcurrentAdmissions(t *testing.T) {
+	fleet := newTestFleet(t, 5, 3, smallQuota())
+	const amount = 1000
+	var admitted atomic.Int64
+	var running sync.WaitGroup
+	for range 8 {
+		for _, process := range fleet.all {
+			running.Go(func() {
+				for range 10 {
+					if process.client.Admit(context.Background(), "t", amount).Verdict == Admitted {
+						admitted.Add(1)
+					}
+				}
+			})
+		}
+	}
+	running.Wait()
+	require.LessOrEqual(t, float64(admitted.Load()*amount), startTotal()+100)
+	require.GreaterOrEqual(t, float64(admitted.Load()*amount), 0.8*startTotal())
+}
+
+// Members that are lost, or are no members any more, are passed over.
+func TestLostMembers(t *testing.T) {
+	fleet := newTestFleet(t, 5, 1, smallQuota())
+	agent := fleet.all[5]
+	fleet.all[0].stop()
+	fleet.all[1].confirmed.Store(false)
+	decision := agent.client.Admit(context.Background(), "t", startTotal()/2)
+	require.Equal(t, Admitted, decision.Verdict)
+	decision = agent.client.Admit(context.Background(), "t", startTotal()/2)
+	require.Equal(t, Exhausted, decision.Verdict, "two fifths are lost with them")
+	for _, member := range fleet.all[:5] {
+		member.confirmed.Store(false)
+	}
+	require.Equal(t, Unavailable, agent.client.Admit(context.Background(), "t", 1).Verdict)
+}
+
+// A tenant that a member has no quota of is judged by another one's configuration.
+func TestTenantThatIsUnknown(t *testing.T) {
+	fleet := newTestFleet(t, 3, 1, smallQuota())
+	ctx := context.Background()
+	assert.Equal(t, Unavailable, fleet.all[3].client.Admit(ctx, "new", 1).Verdict)
+	assert.Equal(t, Unavailable, fleet.all[3].client.Admit(ctx, "free", 1).Verdict)
+	document, err := config.Parse([]byte(`{"revision":2,"services":[],"routes":[],"tenants":[{"name":"new","rate-per-s":100,"burst":10}]}`))
+	require.NoError(t, err)
+	fleet.all[1].broker.Update(document)
+	require.Equal(t, Admitted, fleet.all[3].client.Admit(ctx, "new", 1).Verdict)
+}
+
+// A member that hangs costs no more than the delay until another is asked.
+func TestSilentMember(t *testing.T) {
+	fleet := newTestFleet(t, 3, 1, smallQuota())
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts, and never answers
+	require.NoError(t, err)
+	defer silent.Close()
+	fleet.members = append([]string{silent.Addr().String()}, fleet.members...)
+	agent := fleet.all[3]
+	require.Equal(t, Admitted, agent.client.Admit(context.Background(), "t", 10).Verdict)
+	begin := time.Now()
+	require.Equal(t, Admitted, agent.client.Admit(context.Background(), "t", 10).Verdict)
+	require.Less(t, time.Since(begin), hedgeDelay, "it is asked last now")
+}
+
+// A member of the core appoints one deputy, and both have half of its share from then on.
+func TestDeputyHasHalfOfTheShare(t *testing.T) {
+	fleet := newTestFleet(t, 2, 2, smallQuota())
+	first, second := fleet.all[2].broker, fleet.all[3].broker
+	ctx := context.Background()
+	first.askToBeDeputy(ctx)
+	divisor, ok := first.divisor()
+	require.True(t, ok)
+	require.Equal(t, 4, divisor)
+	second.askToBeDeputy(ctx)
+	_, ok = second.divisor()
+	require.False(t, ok, "there is one already")
+	first.publishAppointment()
+	require.True(t, fleet.all[2].isDeputy.Load())
+
+	member := fleet.all[0].broker
+	require.Equal(t, 4, member.Report().Shares[0].divisorOf(startTotal()))
+	require.Equal(t, fleet.all[2].addr, member.Report().Deputy)
+	require.Equal(t, Admitted, fleet.all[3].client.Admit(ctx, "t", 0.7*startTotal()).Verdict, "a half, a quarter and a part of the other")
+	require.Equal(t, Exhausted, fleet.all[3].client.Admit(ctx, "t", 0.4*startTotal()).Verdict)
+}
+
+// divisorOf is of how many equal parts of a total a share has one.
+func (s Share) divisorOf(total float64) int { return int(math.Round(total / s.Level)) }
+
+// Deputies admit requests while the whole core is lost, until their term is over.
+func TestDeputyAdmitsWithoutTheCore(t *testing.T) {
+	fleet := newTestFleet(t, 2, 2, smallQuota())
+	agent, client := fleet.all[2], fleet.all[3].client
+	agent.broker.askToBeDeputy(context.Background())
+	agent.broker.publishAppointment()
+	fleet.all[0].stop()
+	fleet.all[1].stop()
+	agent.broker.askToBeDeputy(context.Background()) // fails, and changes nothing
+	require.Equal(t, Admitted, client.Admit(context.Background(), "t", startTotal()/10).Verdict)
+	agent.broker.started = agent.broker.started.Add(-deputyTerm)
+	require.Equal(t, Unavailable, client.Admit(context.Background(), "t", startTotal()/100).Verdict)
+	agent.broker.publishAppointment()
+	require.False(t, agent.isDeputy.Load())
+}
+
+// The term counts from the question at the deputy, and from later at the member: no other deputy has the
+// half meanwhile.
+func TestTermsOfDeputiesDoNotOverlap(t *testing.T) {
+	fleet := newTestFleet(t, 1, 2, smallQuota())
+	member := fleet.all[0].broker
+	appoint := func(addr string) int {
+		response, err := member.handleDeputize(context.Background(), &deputizeRequest{Addr: addr})
+		require.NoError(t, err)
+		return response.Divisor
+	}
+	require.Equal(t, 2, appoint("a"))
+	member.started = member.started.Add(-deputyTerm)
+	require.Zero(t, appoint("b"), "the margin is not over")
+	member.started = member.started.Add(-deputyMargin)
+	require.Equal(t, 2, appoint("b"))
+	require.Zero(t, appoint("a"))
+	require.Zero(t, appoint(""))
+	fleet.all[0].confirmed.Store(false)
+	require.Zero(t, appoint("b"), "a member that is cut off prolongs no term")
+	require.Equal(t, 2, NewBroker(member.options).ledgerDivisor(t), "after a restart it counts on an earlier deputy")
+}
+
+// ledgerDivisor is the divisor of a broker whose process has just started.
+func (b *Broker) ledgerDivisor(t *testing.T) int {
+	b.options.Core.(*testProcess).confirmed.Store(true)
+	divisor, ok := b.divisor()
+	require.True(t, ok)
+	return divisor
+}
+
+// A deputy whose term was interrupted begins with next to nothing.
+func TestReturningDeputyBeginsAnew(t *testing.T) {
+	fleet := newTestFleet(t, 1, 1, replaceRate("100000"))
+	deputy := fleet.all[1].broker
+	deputy.askToBeDeputy(context.Background())
+	limit := Limit{RatePerS: 100_000}
+	start := startShare * testBounds.tolerance(limit) / 2
+	full := deputy.started.Add(-time.Hour)
+	deputy.started = full
+	require.Greater(t, deputy.Report().Shares[0].Level, 1.9*start)
+	deputy.askToBeDeputy(context.Background())
+	require.Less(t, deputy.Report().Shares[0].Level, 1.5*start)
+}
+
+// A holder that does not answer delays a draw by no more than drawHedgeDelay.
+func TestDrawsPassOverSilentHolders(t *testing.T) {
+	fleet := newTestFleet(t, 2, 0, smallQuota())
+	for range 3 {
+		silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts, and never answers
+		require.NoError(t, err)
+		defer silent.Close()
+		fleet.members = append(fleet.members, silent.Addr().String())
+	}
+	decision := fleet.all[0].client.Admit(context.Background(), "t", 0.3*startTotal())
+	require.Equal(t, Admitted, decision.Verdict, "a fifth and a part of the other's fifth")
+}
