Add ten mutations of tenants, revocation and quotas to the mutation table

Cause: the promises on keys and quotas had no planted defects. Change: a lease counted from the answer, an old relay that confirms, a check before the wait, a client's own tenant, credit that is kept, shares used twice and others.

--- a/internal/testbed/mutation/table.go
+++ b/internal/testbed/mutation/table.go
@@ -11,6 +11,8 @@
 	registryPackage   = "./internal/fleet/registry"
 	relayPackage      = "./internal/fleet/relay"
 	controlapiPackage = "./internal/fleet/controlapi"
+	gatewayPackage    = "./internal/fleet/gateway"
+	quotaPackage      = "./internal/fleet/quota"
 )
 
 // in is a list of one package.
@@ -275,4 +277,36 @@
 	{ID: "ctl-order-without-version", Category: UpdateConflicts, File: "internal/fleet/controlapi/handlers.go",
 		Old: "	if len(values) == 1 {", New: "	if len(values) == 0 {\n		return 0, nil\n	}\n	if len(values) == 1 {",
 		Packages: in(controlapiPackage), Tests: "^TestSubmit$"},
+
+	// Tenants: keys that were taken away, and quotas over all agents.
+	{ID: "fresh-from-the-answer", Category: StaleState, File: "internal/fleet/relay/freshness.go",
+		Old: "		n.freshness.renew(asOf)", New: "		n.freshness.renew(n.now())",
+		Packages: in(relayPackage), Tests: "^TestFreshnessCountsFromTheQuestion$"},
+	{ID: "fresh-for-later-questions", Category: StaleState, File: "internal/fleet/relay/freshness.go",
+		Old: "max(s.freshness.confirmed, s.freshness.confirming)", New: "s.freshness.question",
+		Packages: in(relayPackage), Tests: "^TestConfirmationAnswersEarlierQuestions$"},
+	{ID: "fresh-relay-that-is-cut-off", Category: StaleState, File: "internal/fleet/relay/freshness.go",
+		Old: "if err != nil || !n.awaitConfig(ctx, seq) {", New: "if err == nil && !n.awaitConfig(ctx, seq) {",
+		Packages: in(relayPackage), Tests: "^TestRelayThatIsCutOff$"},
+	{ID: "fresh-without-the-configuration", Category: StaleState, File: "internal/fleet/relay/freshness.go",
+		Old: "n.config.seq >= m.FreshnessSeq && ", New: "",
+		Packages: in(relayPackage), Tests: "^TestAnswerWithoutItsConfiguration$"},
+	{ID: "tenant-checked-before-the-wait", Category: StaleState, File: "internal/fleet/gateway/retry.go",
+		Old: "		!g.stillAllowed(r),", New: "		false,",
+		Packages: in(gatewayPackage), Tests: "^TestRetryAfterRevocation$"},
+	{ID: "tenant-of-the-client", Category: StaleState, File: "internal/fleet/gateway/tenant.go",
+		Old: "	header.Del(headerTenant)\n", New: "",
+		Packages: in(gatewayPackage), Tests: "^TestServerSeesTenantAndNoKey$"},
+	{ID: "quota-credit-kept", Category: UpdateConflicts, File: "internal/fleet/gateway/handler.go",
+		Old: "		g.returnQuota(r)", New: "		_ = g.returnQuota",
+		Packages: in(gatewayPackage), Tests: "^TestQuotaIsReturned$"},
+	{ID: "quota-share-twice-after-a-restart", Category: UpdateConflicts, File: "internal/fleet/quota/broker.go",
+		Old: "deputy{until: deputyTerm + deputyMargin}", New: "deputy{}",
+		Packages: in(quotaPackage), Tests: "^TestTermsOfDeputiesDoNotOverlap$"},
+	{ID: "quota-full-after-a-restart", Category: UpdateConflicts, File: "internal/fleet/quota/ledger.go",
+		Old: "	return startShare * l.bounds.tolerance(limit) / float64(l.divisor)", New: "	return l.capacity(limit)",
+		Packages: in(quotaPackage), Tests: "^TestShareFillsToItsPart$|^TestReturningDeputyBeginsAnew$"},
+	{ID: "quota-drawn-twice", Category: UpdateConflicts, File: "internal/fleet/quota/ledger.go",
+		Old: "	a.level -= drawn\n", New: "",
+		Packages: in(quotaPackage), Tests: "^TestNoWindowExceedsBounds$|^TestShareFillsToItsPart$"},
 }
