--- a/internal/fleet/quota/deputy.go
+++ b/internal/fleet/quota/deputy.go
@@ -85,7 +85,7 @@
 	}
 	b.deputy = deputy{addr: request.Addr, until: now + deputyTerm + deputyMargin}
 	b.ledger.SetDivisor(now, 2*members)
-	return &deputizeResponse{Divisor: 2 * members}, nil
+	return &deputizeResponse{Divisor: b.ledger.Divisor()}, nil
 }
 
 // Run asks to be a deputy while this process is no member of the core, until ctx ends. It returns nil.
--- a/internal/fleet/quota/ledger.go
+++ b/internal/fleet/quota/ledger.go
@@ -75,6 +75,9 @@
 	}
 }
 
+// Divisor is of how many equal shares of each quota this one is.
+func (l *Ledger) Divisor() int { return l.divisor }
+
 func (l *Ledger) applyDivisor(now time.Duration, divisor int) {
 	if divisor == l.divisor {
 		return
--- a/internal/fleet/settings/settings_test.go
+++ b/internal/fleet/settings/settings_test.go
@@ -71,6 +71,11 @@
 recovery-s = 12
 pass_ms = 130
 again_s = 0
+revocation-closed = true
+revoke-ms = 4900
+quota-window-s = 8
+quota-overshoot = 0.1
+quota-slack = 140000
 [of-later-too]
 x = true
 `
@@ -97,6 +102,8 @@
 	bounds.SeedLagS, bounds.ReuseAfterS, bounds.ContactMs, bounds.AckMs, bounds.SettleS, bounds.DrainMs, bounds.GraceS = 3, 2, 3100, 4100, 4, 2100, 7.5
 	bounds.LossSlackMs, bounds.ConvergeMs, bounds.RevertSlackMs, bounds.StretchMs = 210, 2200, 260, 5100
 	bounds.RetryRatio, bounds.RetryWindowS, bounds.RetrySlack, bounds.RecoveryS, bounds.PassMs = 0.2, 9, 58, 12, 130
+	bounds.RevocationClosed, bounds.RevokeMs = true, 4900
+	bounds.QuotaWindowS, bounds.QuotaOvershoot, bounds.QuotaSlack = 8, 0.1, 140000
 	assert.Equal(t, want, settings)
 	assert.True(t, settings.ServesRole("edge"))
 	assert.True(t, settings.ServesRole("control"))
