Keep a deputy over a restart of its member, and pass over slow holders at once

Change: a deputy names its running term and is prolonged at once, others wait 1.2 s; the hedge itself marks, after 40 ms.

--- a/internal/fleet/quota/broker.go
+++ b/internal/fleet/quota/broker.go
@@ -119,7 +119,7 @@
 		unresponsive: map[string]time.Duration{},
 		rejected:     map[string]int64{},
 		peerLevels:   map[string]map[string]float64{},
-		deputy:       deputy{until: deputyTerm + deputyMargin}, // of an earlier process on this machine
+		deputy:       deputy{until: restartHold}, // of an earlier process on this machine
 	}
 }
 
--- a/internal/fleet/quota/broker_test.go
+++ b/internal/fleet/quota/broker_test.go
@@ -266,6 +266,31 @@
 	require.Equal(t, 2, NewBroker(member.options).ledgerDivisor(t), "after a restart it counts on an earlier deputy")
 }
 
+// A member that has just started prolongs the term of its deputy at once, and appoints no other before that
+// one would have asked.
+func TestMemberThatRestartsKeepsItsDeputy(t *testing.T) {
+	fleet := newTestFleet(t, 1, 1, smallQuota())
+	agent := fleet.all[1].broker
+	agent.askToBeDeputy(context.Background())
+	member := fleet.all[0].broker
+	member.deputy = deputy{until: member.now() + restartHold} // as after a restart
+	stranger, err := member.handleDeputize(context.Background(), &deputizeRequest{Addr: "b"})
+	require.NoError(t, err)
+	require.Zero(t, stranger.Divisor)
+	require.True(t, stranger.Soon)
+	agent.askToBeDeputy(context.Background())
+	require.Equal(t, fleet.all[1].addr, member.Report().Deputy)
+	stranger, err = member.handleDeputize(context.Background(), &deputizeRequest{Addr: "b"})
+	require.NoError(t, err)
+	require.Equal(t, &deputizeResponse{}, stranger)
+
+	member.deputy = deputy{until: member.now() + restartHold}
+	member.started = member.started.Add(-restartHold)
+	stranger, err = member.handleDeputize(context.Background(), &deputizeRequest{Addr: "b"})
+	require.NoError(t, err)
+	require.Equal(t, 2, stranger.Divisor, "the earlier deputy did not ask")
+}
+
 // ledgerDivisor is the divisor of a broker whose process has just started.
 func (b *Broker) ledgerDivisor(t *testing.T) int {
 	b.options.Core.(*testProcess).confirmed.Store(true)
--- a/internal/fleet/quota/client.go
+++ b/internal/fleet/quota/client.go
@@ -11,7 +11,7 @@
 const (
 	// hedgeDelay is how long a holder may take to answer before the next one is asked as well, and
 	// maxHoldersAsked how many are.
-	hedgeDelay      = 60 * time.Millisecond
+	hedgeDelay      = 40 * time.Millisecond
 	maxHoldersAsked = 4
 	// admitTimeout bounds the time until a verdict.
 	admitTimeout = 200 * time.Millisecond
@@ -152,6 +152,9 @@
 			}
 			hedge.Reset(0)
 		case <-hedge.C:
+			if pending > 0 {
+				c.setUnresponsive(holders[asked-1])
+			}
 			if asked < len(holders) {
 				addr := holders[asked]
 				asked++
@@ -199,8 +202,6 @@
 func (c *Client) askHolder(addr string, request *admitRequest) admitResponse {
 	ctx, cancel := context.WithTimeout(context.Background(), admitTimeout)
 	defer cancel()
-	slow := time.AfterFunc(hedgeDelay, func() { c.setUnresponsive(addr) })
-	defer slow.Stop()
 	response, err := rpc.Call[admitRequest, admitResponse](ctx, c.options.Pool, addr, callAdmit, request)
 	if err != nil {
 		c.setUnresponsive(addr)
--- a/internal/fleet/quota/deputy.go
+++ b/internal/fleet/quota/deputy.go
@@ -18,6 +18,10 @@
 	// longer the member counts on it: their clocks may run at slightly different rates.
 	deputyTerm   = 4500 * time.Millisecond
 	deputyMargin = 500 * time.Millisecond
+	// restartHold is for how long a member that has just started waits for an earlier deputy, which asks
+	// every deputyRenewal, before it appoints another. One that is cut off from the member for longer
+	// may hold its part beside the new one until its term is over; the bounds have room for that.
+	restartHold = 1200 * time.Millisecond
 	// deputyRenewal is the time between two questions of a deputy, candidateInterval that of an agent
 	// that was told that there is one. The same again is added at random.
 	deputyRenewal     = 700 * time.Millisecond
@@ -31,11 +35,15 @@
 // deputizeRequest asks a member of the core to be its deputy, or to stay it.
 type deputizeRequest struct {
 	Addr string `msgpack:"a"` // of the agent that asks
+	// Renewal: it is the deputy of the member, and its term is not over.
+	Renewal bool `msgpack:"r,omitempty"`
 }
 
 // deputizeResponse answers it.
 type deputizeResponse struct {
 	Divisor int `msgpack:"d"` // the deputy has one of so many equal shares; 0: it is none
+	// Soon: there is no deputy yet, but one may be appointed within restartHold.
+	Soon bool `msgpack:"s,omitempty"`
 }
 
 // deputy is the deputy of a member of the core.
@@ -48,6 +56,7 @@
 type appointment struct {
 	until     time.Duration
 	divisor   int
+	by        string // address of the member
 	nextAsk   time.Duration
 	published bool
 }
@@ -80,8 +89,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if now < b.deputy.until && b.deputy.addr != request.Addr {
-		return &deputizeResponse{}, nil
+	earlier := b.deputy.addr == "" && request.Renewal // appointed by an earlier process on this machine
+	if now < b.deputy.until && b.deputy.addr != request.Addr && !earlier {
+		return &deputizeResponse{Soon: b.deputy.addr == ""}, nil
 	}
 	b.deputy = deputy{addr: request.Addr, until: now + deputyTerm + deputyMargin}
 	b.ledger.SetDivisor(now, 2*members)
@@ -124,7 +134,7 @@
 	begun := b.now()
 	ctx, cancel := context.WithTimeout(ctx, deputizeTimeout)
 	defer cancel()
-	request := &deputizeRequest{Addr: b.options.SelfAddr}
+	request := &deputizeRequest{Addr: b.options.SelfAddr, Renewal: b.isDeputyOf(members[0], begun)}
 	response, err := rpc.Call[deputizeRequest, deputizeResponse](ctx, b.options.Pool, members[0], callDeputize, request)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -136,13 +146,22 @@
 		if begun >= b.appointed.until {
 			b.ledger.Restart(begun)
 		}
-		b.appointed.until, b.appointed.divisor = begun+deputyTerm, response.Divisor
+		b.appointed.until, b.appointed.divisor, b.appointed.by = begun+deputyTerm, response.Divisor, members[0]
 		b.appointed.nextAsk = begun + deputyRenewal
+	case response.Soon:
+		b.appointed.nextAsk = begun + restartHold/2 + rand.N(restartHold/2)
 	default:
 		b.appointed.nextAsk = begun + candidateInterval + rand.N(candidateInterval)
 	}
 }
 
+// isDeputyOf reports whether this process's term at a member is not over.
+func (b *Broker) isDeputyOf(member string, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.appointed.by == member && now < b.appointed.until
+}
+
 // publishAppointment publishes a change of whether this process is a deputy.
 func (b *Broker) publishAppointment() {
 	_, admits := b.divisor()
--- a/internal/testbed/mutation/table.go
+++ b/internal/testbed/mutation/table.go
@@ -301,7 +301,7 @@
 		Old: "		g.returnQuota(r)", New: "		_ = g.returnQuota",
 		Packages: in(gatewayPackage), Tests: "^TestQuotaIsReturned$"},
 	{ID: "quota-share-twice-after-a-restart", Category: UpdateConflicts, File: "internal/fleet/quota/broker.go",
-		Old: "deputy{until: deputyTerm + deputyMargin}", New: "deputy{}",
+		Old: "deputy{until: restartHold}", New: "deputy{}",
 		Packages: in(quotaPackage), Tests: "^TestTermsOfDeputiesDoNotOverlap$"},
 	{ID: "quota-full-after-a-restart", Category: UpdateConflicts, File: "internal/fleet/quota/ledger.go",
 		Old: "	return startShare * l.bounds.tolerance(limit) / float64(l.divisor)", New: "	return l.capacity(limit)",
