--- a/internal/fleet/rpc/rpc.go
+++ b/internal/fleet/rpc/rpc.go
@@ -27,6 +27,8 @@
 	// connectTimeout bounds one connect. The kernel repeats a lost SYN only after a second; a caller
 	// that tries again is faster.
 	connectTimeout = 300 * time.Millisecond
+	// connectHedgeDelay is after how long without a result another connect is begun beside the first.
+	connectHedgeDelay = 100 * time.Millisecond
 	// maxIdlePerPeer bounds the idle connections to one peer.
 	maxIdlePerPeer = 4
 	// idleTimeout is how long a connection may be idle and be used again.
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -119,12 +119,13 @@
 	return intact, err
 }
 
-// Get returns the newest record of a name. It must not be called before the Put of that name has
-// returned. It reports false also for a store that is closed or busy.
+// Get returns the newest record of a name, nil if there is none. It must not be called before the Put of
+// that name has returned. It reports false also for a store that is closed or busy.
 func (s *Store) Get(key string) (value []byte, found bool) {
 	err := s.query(func() error {
-		record, recorded := s.records[key]
-		value, found = []byte(record), recorded
+		if record, recorded := s.records[key]; recorded {
+			value, found = []byte(record), true
+		}
 		return nil
 	})
 	return value, found && err == nil
--- a/internal/fleet/store/store_test.go
+++ b/internal/fleet/store/store_test.go
@@ -96,3 +96,16 @@
 	require.NoError(t, err)
 	require.True(t, intact)
 }
+
+// Callers that take the value alone tell a missing record by it.
+func TestMissingRecordIsNil(t *testing.T) {
+	t.Parallel()
+	s, _ := open(t, t.TempDir())
+	value, found := s.Get("missing")
+	require.False(t, found)
+	require.Nil(t, value)
+	require.NoError(t, s.Put("empty", nil))
+	value, found = s.Get("empty")
+	require.True(t, found)
+	require.NotNil(t, value)
+}
--- a/internal/fleet/view/plan.go
+++ b/internal/fleet/view/plan.go
@@ -16,6 +16,7 @@
 	ConnectedTo   []string      // IDs of the peers that it is in contact with, as it reports
 	Uptime        time.Duration // since its start or its return from a suspension, before which it had no contact
 	Undecided     bool          // it has accepted a next view and does not know the decision
+	MissedRemoval bool          // it was removed as a voter and has not reported since that it knows that
 }
 
 // Policy is the settings of the repair of a view.
--- a/internal/fleet/view/plan_voters.go
+++ b/internal/fleet/view/plan_voters.go
@@ -23,11 +23,13 @@
 }
 
 // candidates returns the eligible peers that are stable, by ID. A machine whose former disk is still
-// a member of the chain waits until that is removed.
+// a member of the chain waits until that is removed. A former voter waits until it reports that it knows
+// of its removal: what it reported before may be from before it began to shut down, and its process may
+// have ended since.
 func (p *planner) candidates() (candidates []Peer) {
 	for id, h := range p.health {
 		inChain := slices.ContainsFunc(p.view.Chain, func(member Member) bool { return member.Addr == h.Peer.Addr })
-		if !inChain && p.isEligible(h.Peer) && p.isStable(id) {
+		if !inChain && p.isEligible(h.Peer) && p.isStable(id) && !h.MissedRemoval {
 			candidates = append(candidates, h.Peer)
 		}
 	}
--- a/internal/fleet/view/plan_voters_test.go
+++ b/internal/fleet/view/plan_voters_test.go
@@ -40,6 +40,19 @@
 	s.requireNoStep(t)
 }
 
+// A former voter may have ended since it was last heard of: it is no candidate before it reports that it
+// knows of its removal.
+func TestFormerVoterIsAddedOnceItKnows(t *testing.T) {
+	s := newScenario(t, "a b c")
+	s.addPeer(testPeer("d"))
+	s.update("d", func(h *Health) { h.MissedRemoval = true })
+	s.requireNoStep(t)
+	s.update("d", func(h *Health) { h.MissedRemoval = false })
+	s.requireStep(t, "a b c")
+	_, found := s.view.Voter("d")
+	require.True(t, found)
+}
+
 func TestVotersAreBounded(t *testing.T) {
 	s := newScenario(t, "a b c d e f g h i")
 	s.addPeer(testPeer("j"))
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -73,9 +73,10 @@
 }
 
 // affinityServersBusy tells, without another pick, that a request still waits for the servers of its key and
-// that these are as busy as at its last pick.
+// that these are as busy as at its last pick, if it had one.
 func (b *Balancer) affinityServersBusy(req *request) bool {
-	return b.waitsForAffinity(req) && req.preferredAt == b.generation &&
+	picked := req.preferred[0] != nil
+	return picked && b.waitsForAffinity(req) && req.preferredAt == b.generation &&
 		!b.belowLoadCap(req.preferred[0], req) && !b.belowLoadCap(req.preferred[1], req)
 }
 
--- a/policy/queue_test.go
+++ b/policy/queue_test.go
@@ -94,3 +94,23 @@
 		}
 	}
 }
+
+// Requests with a key may come before the first list of servers does, and must survive until it comes.
+func TestKeyedRequestsBeforeTheFirstList(t *testing.T) {
+	balancer, err := New(testSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	agent := &testAgent{t: t, balancer: balancer, now: 1e6}
+	balancer.Start(agent.now, nil)
+	agent.request(1, 7)
+	agent.request(1, 8) // the first one is pending, and is looked at again
+	agent.fireTimer(10)
+	if len(balancer.pending) != 2 {
+		t.Fatalf("%d requests are pending, want 2", len(balancer.pending))
+	}
+	actions := agent.updateList(UpdateCached, Endpoint{Server: addr(0), Status: Ready, Weight: 1})
+	if findAction(actions, ActionSend) == nil {
+		t.Error("a request that came before the list was not sent")
+	}
+}
