--- a/internal/fleet/controlplane/cluster_test.go
+++ b/internal/fleet/controlplane/cluster_test.go
@@ -154,14 +154,18 @@
 
 // interceptorOf carries out the calls of a node with the faults of the cluster.
 func (cluster *testCluster) interceptorOf(node *testNode) interceptor {
-	return func(ctx context.Context, to, name string, do func() error) error {
+	return func(ctx context.Context, to, name string, do func() error) (err error) {
 		cluster.mu.Lock()
 		lost := cluster.unpushable != nil && cluster.unpushable.addr == to && name == callPush
 		observe := cluster.observeCall
 		cluster.mu.Unlock()
 		if observe != nil {
 			observe(node.addr, name, false)
-			defer observe(node.addr, name, true)
+			defer func() {
+				if err == nil {
+					observe(node.addr, name, true)
+				}
+			}()
 		}
 		if lost {
 			<-ctx.Done()
--- a/internal/fleet/controlplane/discovery.go
+++ b/internal/fleet/controlplane/discovery.go
@@ -11,6 +11,10 @@
 // settingsTurn-th time.
 const settingsTurn = 4
 
+// maxDiscoveryAttempts is how many addresses are asked, one after the other, until one answers. With two
+// voters lost of five or more one of them does.
+const maxDiscoveryAttempts = settingsTurn
+
 // viewDiscovery chooses whom to ask for a newer view.
 type viewDiscovery struct {
 	cursor      int // rotates over the addresses
@@ -48,9 +52,19 @@
 	return addresses[number%len(addresses)]
 }
 
+// discoverViewOfAny asks other processes for a newer view until one answers. It is for those that ask
+// seldom: the voters that they know may all be replaced before the next time.
+func (m *Member) discoverViewOfAny(ctx context.Context) {
+	for range maxDiscoveryAttempts {
+		if answered := m.discoverView(ctx, ""); answered || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 // discoverView asks one other process for a newer view, but not the one at an address that is just
-// being asked something else.
-func (m *Member) discoverView(ctx context.Context, except string) {
+// being asked something else. It reports whether that process answered.
+func (m *Member) discoverView(ctx context.Context, except string) (answered bool) {
 	m.mu.Lock()
 	number := m.discovery.next(time.Now())
 	newest := m.views.newest
@@ -59,16 +73,17 @@
 		return address != m.self.Addr && address != except
 	})
 	if address == "" {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	response, err := call[viewRequest, viewResponse](ctx, m, address, callView, &viewRequest{Known: newest.Number})
 	if err != nil {
-		return
+		return false
 	}
 	m.observeView(response.View)
 	_ = m.learnView(ctx, response.View) // later ticks repeat it
+	return true
 }
 
 // configuredAddresses are the seeds, and further addresses of voters.
@@ -88,7 +103,7 @@
 		m.informUnreached()
 		interval, due := m.nextDiscovery()
 		if due {
-			m.discoverView(ctx, "")
+			m.discoverViewOfAny(ctx)
 		}
 		wait(ctx, interval, nil)
 	}
--- a/internal/fleet/controlplane/discovery_test.go
+++ b/internal/fleet/controlplane/discovery_test.go
@@ -1,6 +1,8 @@
 package controlplane
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -39,3 +41,22 @@
 	require.Equal(t, 2, state.next(start.Add(1)))
 	require.Equal(t, start.Add(1), state.lastRequest)
 }
+
+// A process that asks for a newer view now and then gets an answer each time, also while two of the five
+// voters that it knows are lost.
+func TestDiscoveryPassesOverLostVoters(t *testing.T) {
+	t.Parallel()
+	cluster, client := bootstrapped(t, 5, 1)
+	cluster.nodes[0].kill()
+	cluster.nodes[1].kill()
+	var answered atomic.Int32
+	cluster.setObserveCall(func(from, name string, isAnswer bool) {
+		if from == client.addr && name == callView && isAnswer {
+			answered.Add(1)
+		}
+	})
+	for i := range int32(2 * settingsTurn) {
+		client.member.discoverViewOfAny(context.Background())
+		require.Greater(t, answered.Load(), i, "request %d", i+1)
+	}
+}
--- a/internal/fleet/controlplane/learn.go
+++ b/internal/fleet/controlplane/learn.go
@@ -117,8 +117,9 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	former := m.views.learned
 	m.views.learn(decided, now)
-	m.peers.addVoters(&m.views.learned, m.pauses.resumedAt, now)
+	m.peers.votersChanged(&former, &m.views.learned, m.pauses.resumedAt, now)
 	m.proposer.learned(decided.Number)
 	m.wakeTicker()
 	m.changed.notify()
--- a/internal/fleet/controlplane/linearizability_test.go
+++ b/internal/fleet/controlplane/linearizability_test.go
@@ -24,6 +24,8 @@
 	// maxResubmissions is how often an operator repeats an update.
 	maxResubmissions = 3
 	operatorCount    = 4
+	// lostAnswerInterval is how many updates of an operator have one whose first answer it loses.
+	lostAnswerInterval = 8
 )
 
 // registerInput is what an operator requests of the register: a read, or a compare-and-set by revision.
@@ -149,7 +151,11 @@
 	input := registerInput{ifMatch: o.revision, revision: o.revision + o.updates*10 + int64(o.index) + 1}
 	update := revisionUpdate(input.ifMatch, input.revision)
 	called := o.now()
-	result := o.resubmit(i, update, o.submit(i, update))
+	first := o.submit(i, update)
+	if o.updates%lostAnswerInterval == 0 {
+		first = chain.Result{}
+	}
+	result := o.resubmit(i, update, first)
 	if result.Outcome == chain.OutcomeCommitted || result.Outcome == chain.OutcomeConflict {
 		o.revision = result.Revision
 	}
--- a/internal/fleet/controlplane/member.go
+++ b/internal/fleet/controlplane/member.go
@@ -46,6 +46,7 @@
 	bootstrap       bootstrapState
 	diskMonitor     diskMonitor
 	discovery       viewDiscovery
+	confirmations   confirmations
 	announcer       announcer
 	leaving         bool           // Handover was called
 	loggedShortfall view.Shortfall // the last shortfall that was logged
--- a/internal/fleet/controlplane/peers.go
+++ b/internal/fleet/controlplane/peers.go
@@ -16,12 +16,16 @@
 	contactSince time.Time
 	lastSent     time.Time // of the last heartbeat that was sent to it
 	inFlight     bool      // a heartbeat to it has no answer yet
+	// confirmationCalls is how many calls for confirmation to it are under way.
+	confirmationCalls int
 	// pushFailingSince is since when pushes to it have failed, zero: they don't. lastPushFailure is
 	// when the last of them did.
 	pushFailingSince time.Time
 	lastPushFailure  time.Time
 	// refusingSince is since when its port refuses connections; zero: it does not.
 	refusingSince time.Time
+	// removedInView is the number of the view in which it ceased to be a voter; 0: it was none.
+	removedInView uint64
 }
 
 // sinceContact is for how long the peer has not been in contact, counted from when this process resumed at
@@ -56,9 +60,14 @@
 
 // contacted notes a contact that is newer than the last one.
 func (p *peerState) contacted(at, resumedAt, now time.Time) {
-	if p.lastContact.IsZero() || at.Sub(p.lastContact) > peerTimeout || p.contactSince.Before(resumedAt) {
+	interrupted := p.lastContact.IsZero() || at.Sub(p.lastContact) > peerTimeout || p.contactSince.Before(resumedAt)
+	if interrupted {
 		p.contactSince = now
 	}
+	if interrupted || !p.refusingSince.IsZero() {
+		// The pushes failed because the peer was away: they tell nothing of the way to it now.
+		p.pushFailingSince = time.Time{}
+	}
 	p.lastContact, p.refusingSince = at, time.Time{}
 }
 
@@ -121,6 +130,18 @@
 	}
 }
 
+// votersChanged notes which peers ceased to be voters between two views, and makes entries for the new
+// voters.
+func (t *peerTable) votersChanged(former, current *view.View, resumedAt, now time.Time) {
+	for _, voter := range former.Voters {
+		peer := t.byID[voter.ID]
+		if _, remains := current.Voter(voter.ID); peer != nil && !remains {
+			peer.removedInView = current.Number
+		}
+	}
+	t.addVoters(current, resumedAt, now)
+}
+
 // addVoters makes entries for the voters of a view.
 func (t *peerTable) addVoters(current *view.View, resumedAt, now time.Time) {
 	for _, voter := range current.Voters {
@@ -190,6 +211,7 @@
 		ConnectedTo:   received.ConnectedTo,
 		Uptime:        time.Duration(received.UptimeMs) * time.Millisecond,
 		Undecided:     received.Abandoned && received.Accepted == current.Number+1,
+		MissedRemoval: received.View < p.removedInView,
 		Complete:      holdsAll(current, received),
 	}
 	if p.processEnded(now) {
--- a/internal/fleet/controlplane/peers_test.go
+++ b/internal/fleet/controlplane/peers_test.go
@@ -84,6 +84,48 @@
 	require.False(t, peer.pushUnreachable(start.Add(2*time.Second)))
 }
 
+// The pushes to a peer that was away failed for that: once it is back they don't count.
+func TestFailedPushesEndWithAnInterruption(t *testing.T) {
+	t.Parallel()
+	failedAt := start.Add(contactTimeout)
+	for _, test := range []struct {
+		name      string
+		refused   bool
+		contactAt time.Time
+		want      bool
+	}{
+		{"it was in contact all the time", false, failedAt.Add(1), true},
+		{"its process had ended", true, failedAt.Add(1), false},
+		{"the contact was lost", false, start.Add(peerTimeout + 1), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			peer := peerState{knownSince: start}
+			peer.contacted(start, start, start)
+			peer.pushed(start, failedAt, false)
+			if test.refused {
+				peer.refused(failedAt)
+			}
+			peer.contacted(test.contactAt, start, test.contactAt)
+			require.Equal(t, test.want, peer.pushUnreachable(test.contactAt))
+		})
+	}
+}
+
+// A voter that was removed counts as having missed that until it reports the view, or a later one.
+func TestRemovedVoterMissesItsRemoval(t *testing.T) {
+	t.Parallel()
+	former, current := testView(4, "a", "b", "c"), testView(5, "a", "c")
+	table := tableOf("a", &former)
+	table.byID["b"].lastHeartbeat.View = former.Number
+	table.votersChanged(&former, &current, start, start)
+	missed := func(id string) bool { return table.byID[id].health(&current, start, start).MissedRemoval }
+	require.True(t, missed("b"))
+	require.False(t, missed("c"), "it remains a voter")
+	table.byID["b"].lastHeartbeat.View = current.Number
+	require.False(t, missed("b"))
+}
+
 func TestPeerTableQuorum(t *testing.T) {
 	t.Parallel()
 	current := testView(2, "a", "b", "c", "d")
--- a/internal/fleet/logevent/catalogue.go
+++ b/internal/fleet/logevent/catalogue.go
@@ -48,18 +48,19 @@
 
 // The events of the core, its view and its disk.
 const (
-	StateFileCorrupted ID = 400
-	TornWriteTruncated ID = 401
-	StateFileRewritten ID = 402
-	DiskUnavailable    ID = 403
-	DiskWriteFailed    ID = 404
-	ViewDecided        ID = 410
-	ViewLearned        ID = 411
-	ViewUndecided      ID = 412
-	ViewPersistFailed  ID = 413
-	ToleranceShortfall ID = 414
-	ReplicasDiverged   ID = 420
-	PeerCallFailed     ID = 430
+	StateFileCorrupted    ID = 400
+	TornWriteTruncated    ID = 401
+	StateFileRewritten    ID = 402
+	DiskUnavailable       ID = 403
+	DiskWriteFailed       ID = 404
+	QuotaRecordUnreadable ID = 405
+	ViewDecided           ID = 410
+	ViewLearned           ID = 411
+	ViewUndecided         ID = 412
+	ViewPersistFailed     ID = 413
+	ToleranceShortfall    ID = 414
+	ReplicasDiverged      ID = 420
+	PeerCallFailed        ID = 430
 )
 
 // noAction is the action on events that are part of normal operation.
@@ -81,7 +82,7 @@
 	{Synced, "initial synchronization completed", "the process has all that its relay knows, and may become ready", noAction, levelAlways},
 	{SyncedAfterFullRestart, "initial synchronization completed after a restart of the complete core", "no machine of the core knew more than its own disk: all of them were down", "on-call, unless the restart was planned: find out why all machines of the core were down", levelAlways},
 	{ServersRestored, "servers restored from disk until their next heartbeats", "after a restart of everything requests are routed before the servers' next heartbeats", noAction, levelAlways},
-	{NewestConfigConfirmed, "newest configuration confirmed by the core", "this incarnation of the process routes by no older configuration", noAction, levelControl},
+	{NewestConfigConfirmed, "newest configuration confirmed by the core", "a member of the core has just started, or become one, and has no older configuration than the core", noAction, levelControl},
 	{FirstViewKnown, "machines of the core known", "a step of the start: the process knows a view, from its disk or from another process; `after` counts from its start", noAction, levelAlways},
 	{CoreUnreachable, "no machine of the core can be reached", "the process has had no session with a relay that has a quorum for the time in `for`; `seeds` are the addresses that it asks, `members` the relays that it knows, none as long as it knows no view, and `heartbeats` counts the servers' heartbeats that came meanwhile", "on-call: check that the seeds run and that one of them knows the core (`edgectl --agent SEED view`); look for a partition", levelAlways},
 	{CoreReachable, "session with a relay that has a quorum", "a step of the start, or the end of an E207; `after` counts from the start of the process, `lost` is for how long there was none", noAction, levelAlways},
@@ -108,6 +109,7 @@
 	{StateFileRewritten, "state file did not match memory and was rewritten", "the scrubber found records on disk that differ from memory", "on-call: replace the disk if it happens again", levelAlways},
 	{DiskUnavailable, "machine joins the core once its disk accepts a write", "the disk is full or fails; the process serves clients without it", "on-call: free or replace the disk", levelAlways},
 	{DiskWriteFailed, "record could not be written to disk", "the disk is full, slow or fails; the member is removed from the chain until it recovers", "on-call: check the disk", levelAlways},
+	{QuotaRecordUnreadable, "record of the quotas can't be read", "another version has written it, or it is damaged; the shares of the quotas begin with next to nothing, as on an empty disk", "platform, if it comes without a change of version: check the disk", levelAlways},
 	{ViewDecided, "view decided", "the core removed, added or replaced a member; `why` names the reason", "on-call, if a member does not return: check that machine", levelAlways},
 	{ViewLearned, "view learned", "this machine acts by a view that the core has decided", noAction, levelControl},
 	{ViewUndecided, "view not decided", "another proposer was first, or too few voters answered; the proposal is retried", noAction, levelControl},
--- a/internal/fleet/relay/attachment_test.go
+++ b/internal/fleet/relay/attachment_test.go
@@ -44,6 +44,17 @@
 	assert.Contains(t, agent.snapshot.Servers.ByID, "s", "that a server was sent away is no sign that it is gone")
 }
 
+// A session may begin and end between two ticks. The core knows the agent from then on, as with any session.
+func TestShortSessionCountsAsReachingTheCore(t *testing.T) {
+	agent := newManualNode("agent", false)
+	relay := agent.connect("addr of relay", "relay/1", true)
+	agent.deliver(relay, &message{IsCore: true, HasQuorum: true})
+	agent.removeSession(relay)
+	assert.True(t, agent.takesHeartbeat("s", 1))
+	agent.advanceClock(leaseDuration + tickInterval)
+	assert.False(t, agent.takesHeartbeat("s", 2))
+}
+
 // The servers of an agent that is cut off from the core are sent to other agents before the core
 // drops them with the agent's lease.
 func TestServersOfAPartitionedAgentMoveToOthers(t *testing.T) {
--- a/internal/fleet/relay/config.go
+++ b/internal/fleet/relay/config.go
@@ -45,6 +45,13 @@
 	n.applyDeltasLocked([]deltasync.Delta{{Source: configSource, From: current, To: seq, Items: []deltasync.Item{item}}})
 }
 
+// ConfigSeq returns the position of the configuration in force in the core's chain, 0 before the first.
+func (n *Node) ConfigSeq() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config.seq
+}
+
 // MarkConfigCurrent records that every configuration that the core had committed at the time of
 // some read since the start has been applied.
 func (n *Node) MarkConfigCurrent() {
--- a/internal/fleet/relay/configcache.go
+++ b/internal/fleet/relay/configcache.go
@@ -14,39 +14,50 @@
 	configCacheTTL = time.Second
 )
 
-// configFlags is what the message with a configuration reports of its sender.
-type configFlags struct {
+// configForm is the form of the message with a configuration: what it reports of its sender, and whether it
+// is compressed.
+type configForm struct {
 	isCore, hasQuorum, complete bool
+	compressed                  bool
 }
 
 // configCache is the last long configuration, encoded as a message. All sessions that lack it are
 // sent the same bytes.
 type configCache struct {
 	from, to uint64 // versions of the delta
-	flags    configFlags
+	form     configForm
 	encoded  []byte // not to be changed; empty: nothing is cached
 	lastUsed time.Duration
 }
 
 // extract takes a long configuration out of deltas, and returns it as an encoded message and the
 // rest. Without one it returns no message and all deltas.
-func (c *configCache) extract(now time.Duration, flags configFlags, deltas []deltasync.Delta) (encoded []byte, rest []deltasync.Delta) {
+func (c *configCache) extract(now time.Duration, codec *deltaCodec, form configForm, deltas []deltasync.Delta) (encoded []byte, rest []deltasync.Delta) {
 	i := slices.IndexFunc(deltas, func(delta deltasync.Delta) bool { return delta.Source == configSource })
 	if i < 0 || len(deltas[i].Items) == 0 || len(deltas[i].Items[0].Data) < minSharedBytes {
 		return nil, deltas
 	}
 	delta := deltas[i]
-	if !c.has(&delta, flags) {
-		c.from, c.to, c.flags = delta.From, delta.To, flags
-		c.encoded = encode(&message{IsCore: flags.isCore, HasQuorum: flags.hasQuorum, Complete: flags.complete, Deltas: []deltasync.Delta{delta}})
+	if !c.has(&delta, form) {
+		c.from, c.to, c.form = delta.From, delta.To, form
+		c.encoded = form.encode(codec, delta)
 	}
 	c.lastUsed = now
 	return c.encoded, slices.Delete(deltas, i, i+1)
 }
 
-// has reports whether the cached message is the one for a delta and flags.
-func (c *configCache) has(delta *deltasync.Delta, flags configFlags) bool {
-	return len(c.encoded) > 0 && c.from == delta.From && c.to == delta.To && c.flags == flags
+// encode returns the encoded message with a delta.
+func (form configForm) encode(codec *deltaCodec, delta deltasync.Delta) []byte {
+	m := &message{IsCore: form.isCore, HasQuorum: form.hasQuorum, Complete: form.complete, Deltas: []deltasync.Delta{delta}}
+	if form.compressed {
+		codec.compress(m)
+	}
+	return encode(m)
+}
+
+// has reports whether the cached message is the one for a delta in a form.
+func (c *configCache) has(delta *deltasync.Delta, form configForm) bool {
+	return len(c.encoded) > 0 && c.from == delta.From && c.to == delta.To && c.form == form
 }
 
 // expire drops the cached message when no session has needed it for a while.
--- a/internal/fleet/relay/configcache_test.go
+++ b/internal/fleet/relay/configcache_test.go
@@ -15,16 +15,16 @@
 func TestLongConfigurationIsEncodedOnce(t *testing.T) {
 	relay := newManualNode("h", true, Peer{Addr: "addr of h"})
 	relay.ApplyConfig(1, paddedDocument(1, longConfigBytes))
-	take := func(flags configFlags) (shared []byte, rest []deltasync.Delta) {
+	take := func(form configForm) (shared []byte, rest []deltasync.Delta) {
 		relay.mu.Lock()
 		defer relay.mu.Unlock()
-		return relay.configCache.extract(relay.now(), flags, relay.items.DeltasSince(nil))
+		return relay.configCache.extract(relay.now(), &relay.codec, form, relay.items.DeltasSince(nil))
 	}
-	first, rest := take(configFlags{isCore: true, hasQuorum: true, complete: true})
+	first, rest := take(configForm{isCore: true, hasQuorum: true, complete: true})
 	require.NotEmpty(t, first)
 	require.Len(t, rest, 1, "the relay's own source")
 	assert.Equal(t, relay.source(), rest[0].Source)
-	second, _ := take(configFlags{isCore: true, hasQuorum: true, complete: true})
+	second, _ := take(configForm{isCore: true, hasQuorum: true, complete: true})
 	assert.Same(t, &first[0], &second[0])
 	m := new(message)
 	require.NoError(t, msgpack.Unmarshal(first, m))
@@ -34,12 +34,12 @@
 	assert.Zero(t, m.ReceivedVersion)
 
 	// The status of the sender is part of it.
-	other, _ := take(configFlags{isCore: true, hasQuorum: true})
+	other, _ := take(configForm{isCore: true, hasQuorum: true})
 	assert.NotSame(t, &first[0], &other[0])
 	require.NoError(t, msgpack.Unmarshal(other, m))
 	// So is the configuration.
 	relay.ApplyConfig(2, paddedDocument(2, longConfigBytes))
-	newer, _ := take(configFlags{isCore: true, hasQuorum: true})
+	newer, _ := take(configForm{isCore: true, hasQuorum: true})
 	newest := new(message)
 	require.NoError(t, msgpack.Unmarshal(newer, newest))
 	assert.Equal(t, uint64(2), newest.Deltas[0].To)
@@ -54,7 +54,7 @@
 	relay.ApplyConfig(1, documentOf(1))
 	relay.mu.Lock()
 	defer relay.mu.Unlock()
-	shared, rest := relay.configCache.extract(relay.now(), configFlags{isCore: true}, relay.items.DeltasSince(nil))
+	shared, rest := relay.configCache.extract(relay.now(), &relay.codec, configForm{isCore: true}, relay.items.DeltasSince(nil))
 	assert.Empty(t, shared)
 	assert.Len(t, rest, 2)
 }
--- a/internal/fleet/relay/dial.go
+++ b/internal/fleet/relay/dial.go
@@ -63,11 +63,23 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialInterval):
+		case <-time.After(n.redialPause()):
 		}
 	}
 }
 
+// redialPause is the pause before the next look for peers to dial. It is short for a member of the core that
+// has just started, as the whole core may have: nobody is complete before these sessions are established.
+func (n *Node) redialPause() time.Duration {
+	isMember := n.options.Core.IsMember()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if isMember && !n.readiness.synced && n.isStarting() {
+		return startCheckInterval
+	}
+	return redialInterval
+}
+
 // dialSession begins a session with the agent at an address, and runs it until it or ctx ends. Another
 // attempt follows if it fails, so errors before the session begins are not reported.
 func (n *Node) dialSession(ctx context.Context, addr string) {
@@ -81,7 +93,7 @@
 	defer hangUp()
 	isMember := n.options.Core.IsMember()
 	n.mu.Lock()
-	own := &hello{Source: n.items.OwnSource(), Addr: n.options.Self.Addr, IsCore: isMember, Vector: n.items.Vector()}
+	own := &hello{Source: n.items.OwnSource(), Addr: n.options.Self.Addr, IsCore: isMember, Vector: n.items.Vector(), AcceptsZstd: true}
 	n.mu.Unlock()
 	if st.Send(&message{Hello: own, IsCore: isMember, HasQuorum: n.options.Core.HasQuorum()}) != nil {
 		return
--- a/internal/fleet/relay/freshness.go
+++ b/internal/fleet/relay/freshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,8 @@
 	confirmInterval = 300 * time.Millisecond
 	// confirmRetryInterval is that pause after one that failed.
 	confirmRetryInterval = 100 * time.Millisecond
+	// maxConfirmations bounds the confirmations in progress.
+	maxConfirmations = 4
 	// confirmTimeout bounds a confirmation and the wait for the configuration that it names.
 	confirmTimeout = time.Second
 	// staleLogAge is from which age on a configuration that is not confirmed is logged.
@@ -54,9 +57,8 @@
 
 // sessionFreshness is the state of one agent's questions at its relay.
 type sessionFreshness struct {
-	question   uint64 // the newest that came
-	confirming uint64 // the newest that came before the confirmation in progress began
-	confirmed  uint64 // the newest that came before one which succeeded began
+	question  uint64 // the newest that came
+	confirmed uint64 // the newest that came before a confirmation which succeeded began
 }
 
 // ConfigFreshAsOf returns a time such that this process has every configuration that was acknowledged
@@ -102,23 +104,39 @@
 	}
 }
 
-// confirmLoop confirms the configuration with the core while this process is a member, until ctx ends.
+// confirmLoop confirms the configuration with the core while this process is a member, until ctx ends. It
+// begins another confirmation while one takes long, as the core may have changed meanwhile.
 func (n *Node) confirmLoop(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	slots := make(chan struct{}, maxConfirmations)
+	confirmed := make(chan bool, maxConfirmations)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case ok := <-confirmed:
+			<-slots
+			if !ok {
+				timer.Reset(confirmRetryInterval)
+			}
+			n.logFreshness()
+			continue
 		case <-n.freshness.confirmWake:
 		case <-timer.C:
 		}
-		pause := confirmInterval
-		if n.options.Core.IsMember() && !n.confirm(ctx) {
-			pause = confirmRetryInterval
+		timer.Reset(confirmInterval)
+		if !n.options.Core.IsMember() {
+			n.logFreshness()
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+			running.Go(func() { confirmed <- n.confirm(ctx) })
+		default: // as many are in progress as may be
 		}
-		n.logFreshness()
-		timer.Reset(pause)
 	}
 }
 
@@ -128,8 +146,9 @@
 	defer cancel()
 	n.mu.Lock()
 	begun := n.now()
+	questions := make(map[*session]uint64, len(n.sessions))
 	for s := range n.sessions {
-		s.freshness.confirming = s.freshness.question
+		questions[s] = s.freshness.question
 	}
 	n.mu.Unlock()
 	seq, err := n.options.ConfirmConfig(ctx)
@@ -139,9 +158,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.freshness.renew(begun)
-	for s := range n.sessions {
-		first := s.freshness.confirmed == 0 && s.freshness.confirming > 0
-		s.freshness.confirmed = max(s.freshness.confirmed, s.freshness.confirming)
+	for s, question := range questions {
+		first := s.freshness.confirmed == 0 && question > 0
+		s.freshness.confirmed = max(s.freshness.confirmed, question)
 		if first {
 			s.wakeSender()
 		}
--- a/internal/fleet/relay/freshness_test.go
+++ b/internal/fleet/relay/freshness_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -187,3 +189,25 @@
 	}
 	cluster.eventually("fresh again", fresh)
 }
+
+// A confirmation that gets no answer holds up no later one, and no more than maxConfirmations are in
+// progress.
+func TestConfirmationsOverlap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var inProgress, most, begun atomic.Int32
+		relay := newFreshNode("h", true, &confirmCore{})
+		relay.options.ConfirmConfig = func(ctx context.Context) (uint64, error) {
+			begun.Add(1)
+			most.Store(max(most.Load(), inProgress.Add(1)))
+			defer inProgress.Add(-1)
+			<-ctx.Done()
+			return 0, ctx.Err()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*confirmTimeout)
+		defer cancel()
+		relay.confirmLoop(ctx)
+		require.EqualValues(t, maxConfirmations, most.Load())
+		require.Greater(t, begun.Load(), int32(2*10), "more than one began in a confirmTimeout")
+		require.Zero(t, inProgress.Load())
+	})
+}
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -19,6 +19,11 @@
 const (
 	// tickInterval is the period at which sessions, leases and servers are checked for expiry.
 	tickInterval = 200 * time.Millisecond
+	// startCheckInterval is the period at which a node that has never been complete looks whether it may
+	// declare itself so, and which members of the core it should dial.
+	startCheckInterval = 20 * time.Millisecond
+	// startPeriod is how long after its start a node does that; later it takes its usual time.
+	startPeriod = 3 * time.Second
 	// changeLogSize is the number of changes retained for operators.
 	changeLogSize = 256
 	// maxLoggedBytes bounds the data that is retained of each of those changes.
@@ -105,6 +110,7 @@
 	sessions      sessionSet
 	upstream      upstreamSelector
 	configCache   configCache
+	codec         deltaCodec    // not guarded
 	noticeLimiter *rate.Limiter // in bytes that notices cost each receiver
 	tableFullLog  rate.Sometimes
 	published     Snapshot
@@ -123,6 +129,7 @@
 		members:       map[string]Member{},
 		leases:        newLeaseManager(),
 		ends:          endAnnouncements{},
+		codec:         newDeltaCodec(),
 		sessions:      sessionSet{},
 		noticeLimiter: rate.NewLimiter(0, noticeBurst*noticeSize),
 		tableFullLog:  rate.Sometimes{Interval: tableFullLogInterval},
@@ -159,6 +166,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	running.Go(func() { n.dialLoop(ctx) })
+	running.Go(func() { n.startLoop(ctx) })
 	if n.options.SaveServers != nil {
 		running.Go(func() { n.saveLoop(ctx) })
 	}
@@ -183,10 +191,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	if isMember != n.options.Self.IsCore {
-		n.options.Self.IsCore = isMember
-		n.publishMemberLocked()
-	}
+	n.observeMembershipLocked(isMember)
 	n.expireServersLocked(now, !n.attachment.reachesCore(now))
 	n.sessions.closeTimedOut(now)
 	n.configCache.expire(now)
@@ -205,6 +210,50 @@
 	n.publishSnapshotLocked()
 }
 
+// observeMembershipLocked publishes whether this process is a member of the core, where that has changed.
+func (n *Node) observeMembershipLocked(isMember bool) {
+	if isMember != n.options.Self.IsCore {
+		n.options.Self.IsCore = isMember
+		n.publishMemberLocked()
+	}
+}
+
+// startLoop looks often whether this node may declare itself complete, until it is complete for the first
+// time or startPeriod is over: after a loss of all power every agent waits for the first member of the core
+// that does. Later tick sees to it.
+func (n *Node) startLoop(ctx context.Context) {
+	ticker := time.NewTicker(startCheckInterval)
+	defer ticker.Stop()
+	for n.isStarting() && !n.checkStart() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// isStarting reports whether this node has just started.
+func (n *Node) isStarting() bool { return n.now()-clockStart < startPeriod }
+
+// checkStart declares this node complete if it may, and reports whether it has been complete.
+func (n *Node) checkStart() bool {
+	isMember, hasQuorum, members := n.options.Core.IsMember(), n.options.Core.HasQuorum(), n.options.Core.Members()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.observeMembershipLocked(isMember)
+	if n.readiness.synced {
+		return true
+	}
+	now := n.now()
+	n.readiness.observeCore(now, isMember, hasQuorum)
+	n.selfStartLocked(now, members)
+	if n.readiness.synced {
+		n.publishSnapshotLocked()
+	}
+	return n.readiness.synced
+}
+
 // selfStartLocked declares this node complete where no other could complete it: the whole core has
 // just started, or all of it has lost its quorum.
 func (n *Node) selfStartLocked(now time.Duration, members []Peer) {
--- a/internal/fleet/relay/receive.go
+++ b/internal/fleet/relay/receive.go
@@ -9,15 +9,28 @@
 // is a message that came already, or nil.
 func (n *Node) receiveLoop(st *stream, s *session, first *message) error {
 	if first != nil {
-		n.handleMessage(s, first)
+		if err := n.receiveMessage(s, first); err != nil {
+			return err
+		}
 	}
 	for {
 		m, err := st.Recv()
 		if err != nil {
 			return err
 		}
-		n.handleMessage(s, m)
+		if err := n.receiveMessage(s, m); err != nil {
+			return err
+		}
+	}
+}
+
+// receiveMessage handles a message as it came. An error ends the session.
+func (n *Node) receiveMessage(s *session, m *message) error {
+	if err := n.codec.decompress(m); err != nil {
+		return err
 	}
+	n.handleMessage(s, m)
+	return nil
 }
 
 // handleMessage takes a message of a session.
@@ -29,6 +42,8 @@
 		return // it was with an earlier incarnation of this agent
 	}
 	n.recordPeerLocked(s, m)
+	// A session that is lost again before the next tick counts too.
+	n.observeAttachmentLocked(s.lastMessage, isMember && hasQuorum, members)
 	n.applyDeltasLocked(m.Deltas)
 	n.recordSentLocked(s, m.Deltas)
 	if isMember && s.peerIsCore {
--- a/internal/fleet/relay/send.go
+++ b/internal/fleet/relay/send.go
@@ -5,6 +5,12 @@
 	"time"
 )
 
+// coalesceInterval is the least time between two updates that a change causes on one session. While
+// many changes come one after the other, as after a start of all processes, one update has those of
+// this time; a change after a calm is sent at once. Each change costs an update to every agent, so
+// that a relay would otherwise do little else.
+const coalesceInterval = 25 * time.Millisecond
+
 // status is what a message reports of its sender, beside the deltas.
 type status struct {
 	isCore, hasQuorum, complete bool
@@ -30,6 +36,7 @@
 	// the message with all that the node had when it was.
 	lastStatus   status
 	heartbeatDue bool
+	lastUpdate   time.Time // when the latest update was sent
 	// answered tells that a question on freshness was answered: the first answer is sent at once, the
 	// others with the next heartbeat.
 	answered bool
@@ -61,7 +68,7 @@
 func (n *Node) sendHello(st *stream) error {
 	m := &message{IsCore: n.options.Core.IsMember(), HasQuorum: n.options.Core.HasQuorum()}
 	n.mu.Lock()
-	m.Hello = &hello{Source: n.items.OwnSource(), Addr: n.options.Self.Addr, IsCore: true, Vector: n.items.Vector()}
+	m.Hello = &hello{Source: n.items.OwnSource(), Addr: n.options.Self.Addr, IsCore: true, Vector: n.items.Vector(), AcceptsZstd: true}
 	n.mu.Unlock()
 	return st.Send(m)
 }
@@ -80,10 +87,13 @@
 	if !out.heartbeatDue && len(update.Deltas) == 0 && len(update.Acknowledged) == 0 && next == out.lastStatus && !firstAnswer {
 		return changed, nil
 	}
+	if out.session.acceptsZstd {
+		out.node.codec.compress(update)
+	}
 	if err := out.stream.Send(update); err != nil {
 		return nil, err
 	}
-	out.lastStatus, out.heartbeatDue = next, false
+	out.lastStatus, out.heartbeatDue, out.lastUpdate = next, false, time.Now()
 	out.answered = out.answered || firstAnswer
 	return changed, nil
 }
@@ -100,8 +110,8 @@
 	for _, delta := range update.Deltas {
 		s.sent[delta.Source] = delta.To
 	}
-	flags := configFlags{isCore: update.IsCore, hasQuorum: update.HasQuorum, complete: out.lastStatus.complete}
-	encodedConfig, update.Deltas = n.configCache.extract(n.now(), flags, update.Deltas)
+	form := configForm{isCore: update.IsCore, hasQuorum: update.HasQuorum, complete: out.lastStatus.complete, compressed: s.acceptsZstd}
+	encodedConfig, update.Deltas = n.configCache.extract(n.now(), &n.codec, form, update.Deltas)
 	update.ReceivedVersion = n.items.LastVersion(s.source)
 	update.Complete = n.readiness.complete()
 	update.Acknowledged = n.takeAcknowledgementsLocked(s)
@@ -114,11 +124,18 @@
 
 // wait returns when an update may be due or ctx ends. It sends pending notices meanwhile.
 func (out *sender) wait(ctx context.Context, changed <-chan struct{}, heartbeat <-chan time.Time) error {
+	var coalesced <-chan time.Time // set once there was a change
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
+			remaining := coalesceInterval - time.Since(out.lastUpdate)
+			if remaining <= 0 {
+				return nil
+			}
+			coalesced, changed = time.After(remaining), nil
+		case <-coalesced:
 			return nil
 		case <-out.session.wake:
 			return nil
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -33,6 +33,7 @@
 
 	// What the peer last reported of itself.
 	peerIsCore        bool
+	acceptsZstd       bool // it understands compressed deltas
 	peerHasQuorum     bool
 	peerComplete      bool          // see readiness
 	completenessKnown bool          // it has reported whether it is complete
@@ -66,6 +67,7 @@
 		started:       now,
 		cancel:        cancel,
 		peerIsCore:    peer.IsCore,
+		acceptsZstd:   peer.AcceptsZstd,
 		lastQuorum:    now,
 		lastMessage:   now,
 		bytesReceived: bytesReceived,
--- a/internal/fleet/relay/slowlink_test.go
+++ b/internal/fleet/relay/slowlink_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
-	"bytes"
+	"encoding/base64"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,15 +13,20 @@
 
 const (
 	// slowLinkBytesPerSecond is the rate of a slow link, longConfigBytes the size of a configuration that
-	// takes over two seconds on it.
+	// takes over two seconds on it, also compressed.
 	slowLinkBytesPerSecond = 640 << 10
 	longConfigBytes        = 1600 << 10
 )
 
-// paddedDocument returns a configuration with a revision and a size in bytes.
+// paddedDocument returns a configuration with a revision and a size in bytes. Its padding is random, so that
+// it is long when compressed, too.
 func paddedDocument(revision, size int) []byte {
 	doc := documentOf(revision)
-	return append(doc, bytes.Repeat([]byte(" "), size-len(doc))...)
+	const field = `,"padding":""}`
+	random := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte{byte(revision)}).Read(random)
+	padding := base64.RawStdEncoding.EncodeToString(random)[:size-len(doc)-len(field)+1]
+	return fmt.Appendf(nil, `%s,"padding":"%s"}`, doc[:len(doc)-1], padding)
 }
 
 // slowLinksTo makes the links between an agent and others slow.
--- a/internal/fleet/relay/upstream.go
+++ b/internal/fleet/relay/upstream.go
@@ -178,6 +178,16 @@
 	return preferenceOrder(&n.options.Self, n.options.Core.Members())
 }
 
+// PreferredAgents returns the addresses of the other agents in this agent's order of preference. It takes
+// time in proportion to their number.
+func (n *Node) PreferredAgents() []string {
+	var agents []Peer
+	for _, member := range n.OtherMembers(false) {
+		agents = append(agents, Peer{Addr: member.Addr, Zone: member.Zone})
+	}
+	return preferenceOrder(&n.options.Self, agents)
+}
+
 // preferenceOrder orders the addresses of relays for an agent: those of its zone first, each group
 // by a hash, so that the agents spread evenly.
 func preferenceOrder(self *Member, members []Peer) []string {
