Put a configuration's limits in force, also for connections that are open

The gateway read heads, bodies and idle times by constants of its own. Now the configuration's limits hold: 431 for a head, 413 for a body, a closed connection for one that is late; pauses of the process do not count. The maintenance loop woke 50 times a second, as it subtracted the current time from an interval.

--- a/internal/fleet/gateway/bench_test.go
+++ b/internal/fleet/gateway/bench_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 )
 
@@ -79,7 +80,7 @@
 			source := &repeatedConn{data: request}
 			var conn net.Conn = source
 			if c.watched {
-				conn = &framingConn{Conn: source}
+				conn = newFramingConn(source, new(atomic.Int64))
 			}
 			reader := bufio.NewReader(conn)
 			b.ReportAllocs()
--- a/internal/fleet/gateway/body.go
+++ b/internal/fleet/gateway/body.go
@@ -11,12 +11,8 @@
 	"chalkdoor.example/chalkdoor/internal/fleet/relay"
 )
 
-const (
-	// defaultMaxBodyBytes bounds a request body where the configuration has no limit.
-	defaultMaxBodyBytes = 4 << 20
-	// unreservedBodyBytes are read of each body before memory is reserved for it: most are shorter.
-	unreservedBodyBytes = 16 << 10
-)
+// unreservedBodyBytes are read of each body before memory is reserved for it: most are shorter.
+const unreservedBodyBytes = 16 << 10
 
 // errBodyMemory means that the memory for request bodies is used up.
 var errBodyMemory = errors.New("no memory for a body")
@@ -24,10 +20,7 @@
 // readBody reads the complete body of a request within the configured size, the memory for bodies and
 // the request's deadline. Its error is errBodyMemory or a *requestError; then nothing is reserved.
 func (g *Gateway) readBody(w http.ResponseWriter, req *http.Request, r *request, snapshot *relay.Snapshot) error {
-	limit := snapshot.Config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
+	limit := limitsOf(snapshot.Config).bodyBytes
 	if req.ContentLength > limit {
 		return bodyTooLarge(limit)
 	}
--- /dev/null
+++ b/internal/fleet/gateway/clientlimits_test.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chalkdoor.example/chalkdoor/internal/fleet/config"
+	"chalkdoor.example/chalkdoor/internal/http1"
+)
+
+// newFramingConn returns a connection as Serve accepts it, with the default limits.
+func newFramingConn(conn net.Conn, rejected *atomic.Int64) *framingConn {
+	return &framingConn{Conn: conn, rejected: rejected, clock: new(atomic.Int64), limits: func() clientLimits { return limitsOf(nil) }}
+}
+
+// withLimits returns a new configuration with limits.
+func (h *testHarness) withLimits(limits config.Limits) *config.Document {
+	document := h.document("")
+	document.Limits = limits
+	return document
+}
+
+// requestOfHeadSize returns a request whose head has a size in bytes.
+func requestOfHeadSize(size int) string {
+	const field = "X-Padding: %s\r\n"
+	missing := size - len(requestHead("GET", "/safe/x", fmt.Sprintf(field, "")))
+	return requestHead("GET", "/safe/x", fmt.Sprintf(field, strings.Repeat("p", missing)))
+}
+
+func TestLimitsOfConfiguration(t *testing.T) {
+	defaults := clientLimits{defaultHeaderBytes, defaultMaxBodyBytes, defaultHeaderTime, defaultIdleTime}
+	assert.Equal(t, defaults, limitsOf(nil))
+	assert.Equal(t, defaults, limitsOf(&config.Document{Limits: config.Limits{HeaderBytes: -1, IdleMs: -5}}))
+	assert.Equal(t, clientLimits{16384, 65536, 3 * time.Second, 120 * time.Second},
+		limitsOf(&config.Document{Limits: config.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderMs: 3000, IdleMs: 120_000}}))
+	large := limitsOf(&config.Document{Limits: config.Limits{HeaderBytes: 1 << 40, HeaderMs: 1 << 62, IdleMs: 1 << 62}})
+	assert.Equal(t, int64(maxHeaderBytes), large.headerBytes)
+	assert.Positive(t, large.headerTime)
+	assert.Positive(t, large.idleTime)
+}
+
+// The size of a head is limited by the configuration in force when it arrives, also on a connection that was
+// opened before.
+func TestHeadOverTheLimit(t *testing.T) {
+	harness := newHarness(t, 1, alwaysSucceed)
+	harness.update(harness.withLimits(config.Limits{HeaderBytes: 1000}))
+	client := harness.dial()
+	send := func(client *testClient, size int) int {
+		client.write(requestOfHeadSize(size))
+		resp, _ := client.readResponse()
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusOK, send(client, 990))
+	harness.update(harness.withLimits(config.Limits{HeaderBytes: 100_000}))
+	require.Equal(t, http.StatusOK, send(client, 90_000), "over net/http's usual limits, too")
+	harness.update(harness.withLimits(config.Limits{HeaderBytes: 1000}))
+	rejected := harness.gateway.Counters.Rejected.Load()
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, send(client, 1010))
+	client.requireClosed()
+	assert.Equal(t, rejected+1, harness.gateway.Counters.Rejected.Load())
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, send(harness.dial(), 200_000))
+	assert.Equal(t, int64(2), harness.requestCount(), "the others were not executed")
+}
+
+// A request behind one that is being served is refused after the response to that.
+func TestHeadOverTheLimitBehindAnother(t *testing.T) {
+	release := make(chan struct{})
+	harness := newHarness(t, 1, func(call *upstreamCall, _ int) bool {
+		<-release
+		return call.respondSuccess()
+	})
+	harness.update(harness.withLimits(config.Limits{HeaderBytes: 1000}))
+	client := harness.dial()
+	client.write(requestHead("GET", "/safe/x", "") + requestOfHeadSize(2000))
+	harness.nextCall()
+	close(release)
+	resp, _ := client.readResponse()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	resp, _ = client.readResponse()
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, resp.StatusCode)
+	client.requireClosed()
+}
+
+// A head that does not end within header-ms, and a connection that rests for longer than idle-ms, are closed
+// by the limits of the moment.
+func TestSlowHeadsAndIdleConnectionsAreClosed(t *testing.T) {
+	harness := newHarness(t, 1, alwaysSucceed)
+	slow, unused, used := harness.dial(), harness.dial(), harness.dial()
+	used.write(requestHead("GET", "/safe/x", ""))
+	resp, _ := used.readResponse()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	slow.write("GET /safe/x HTTP/1.1\r\nHost: h.exa")
+	harness.update(harness.withLimits(config.Limits{HeaderMs: 1, IdleMs: 1}))
+	for _, client := range []*testClient{slow, unused, used} {
+		client.requireClosed()
+	}
+	require.Eventually(t, func() bool { return harness.gateway.clientConns.count() == 0 }, testTimeout, time.Millisecond)
+}
+
+// A request that takes longer than idle-ms and header-ms is served, and its connection with it.
+func TestRequestInFlightIsNotIdle(t *testing.T) {
+	release := make(chan struct{})
+	harness := newHarness(t, 1, func(call *upstreamCall, _ int) bool {
+		<-release
+		return call.respondSuccess()
+	})
+	client, idle := harness.dial(), harness.dial()
+	client.write(requestHead("GET", "/safe/x", "") + "GET /sa") // the start of the next one, too
+	harness.nextCall()
+	harness.update(harness.withLimits(config.Limits{HeaderMs: 1, IdleMs: 1}))
+	idle.requireClosed() // so the connections have been checked
+	close(release)
+	resp, _ := client.readResponse()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	client.requireClosed()
+}
+
+// timedConn is a connection of a client that net/http reports the state of.
+type timedConn struct {
+	*http1.ClientConn
+	framing *framingConn
+}
+
+func newTimedConn(t *testing.T) timedConn {
+	near, far := net.Pipe()
+	t.Cleanup(func() { far.Close() })
+	framing := newFramingConn(near, new(atomic.Int64))
+	return timedConn{http1.NewClientConn(framing, new(atomic.Int64)), framing}
+}
+
+func TestClientConnLimits(t *testing.T) {
+	limits := clientLimits{headerTime: 3 * time.Second, idleTime: 120 * time.Second}
+	conns, conn := newClientConns(), newTimedConn(t)
+	exceeded := func(after time.Duration) bool {
+		now := conns.clock.Add(int64(after))
+		return len(conns.exceeding(now, limits)) > 0
+	}
+	conns.stateChanged(conn.ClientConn, http.StateNew)
+	assert.False(t, exceeded(100*time.Second), "a rest over 75 s is kept")
+	assert.True(t, exceeded(21*time.Second))
+	conns.stateChanged(conn.ClientConn, http.StateActive)
+	assert.False(t, exceeded(time.Hour), "a request is being served")
+	conns.stateChanged(conn.ClientConn, http.StateIdle)
+	assert.False(t, exceeded(119*time.Second))
+	conn.framing.times.headSince.Store(conns.clock.Load())
+	assert.False(t, exceeded(2*time.Second), "a head counts for itself")
+	assert.True(t, exceeded(2*time.Second))
+	limits.headerTime = 5 * time.Second
+	assert.False(t, exceeded(0), "by the limits of the moment")
+
+	// A head that came ahead counts from when the request before it was answered.
+	conns.stateChanged(conn.ClientConn, http.StateActive)
+	conns.clock.Add(int64(time.Hour))
+	conns.stateChanged(conn.ClientConn, http.StateIdle)
+	assert.False(t, exceeded(4*time.Second))
+	assert.True(t, exceeded(2*time.Second))
+
+	conns.stateChanged(conn.ClientConn, http.StateClosed)
+	assert.Zero(t, conns.count())
+	conns.stateChanged(nil, http.StateNew) // another kind of connection
+	assert.Zero(t, conns.count())
+}
+
+// After a pause of the process what clients sent meanwhile is read before anything is closed.
+func TestPauseIsNoIdleTime(t *testing.T) {
+	limits := clientLimits{headerTime: time.Second, idleTime: time.Second}
+	conns, conn := newClientConns(), newTimedConn(t)
+	conns.stateChanged(conn.ClientConn, http.StateNew)
+	conns.check(time.Minute, limits)
+	assert.True(t, conn.BeginRequest(), "it is open")
+	conn.EndRequest()
+	for range int(limits.idleTime/limitCheckInterval) + 1 {
+		conns.check(limitCheckInterval, limits)
+	}
+	assert.False(t, conn.BeginRequest(), "it was closed")
+}
+
+// count is the number of connections.
+func (c *clientConns) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.times)
+}
--- a/internal/fleet/gateway/framing_errors.go
+++ b/internal/fleet/gateway/framing_errors.go
@@ -1,14 +1,15 @@
 package gateway
 
-// framingError is a request whose end HTTP implementations may find at different bytes.
+// framingError is a request whose end HTTP implementations may find at different bytes, or whose head is too long.
 type framingError struct {
 	reason string // what is ambiguous, and what to send instead
 }
 
-func (e *framingError) Error() string { return "ambiguous request framing: " + e.reason }
+func (e *framingError) Error() string { return "request framing: " + e.reason }
 
 // The errors that a scanner finds.
 var (
+	errHeadTooLong               = &framingError{"head of a request over the limit: send fewer or shorter fields"}
 	errEmptyLines                = &framingError{"more empty lines ahead of a request than are skipped: send none"}
 	errRequestLine               = &framingError{"malformed request line: send METHOD SP TARGET SP HTTP/1.1 CRLF"}
 	errVersion                   = &framingError{"unknown protocol version: send HTTP/1.1"}
--- a/internal/fleet/gateway/framing_scanner.go
+++ b/internal/fleet/gateway/framing_scanner.go
@@ -49,21 +49,35 @@
 	hasContentLength    bool
 	hasTransferEncoding bool
 	remaining           int64 // bytes of a body or a chunk
+
+	headBytes int64 // of the head that is being read
 }
 
-// scan reads the next bytes of the connection. It returns how many of them are unambiguous, and the
-// *framingError of the one after them. A scanner that has returned an error must not be used again.
-func (s *framingScanner) scan(p []byte) (int, error) {
+// scan reads the next bytes of the connection. It returns how many of them are unambiguous and within a head
+// of maxHeadBytes, and the *framingError of what follows. A scanner that has returned an error must not be
+// used again.
+func (s *framingScanner) scan(p []byte, maxHeadBytes int64) (int, error) {
 	for i := 0; i < len(p); {
 		n, err := s.step(p[i:])
 		i += n
 		if err != nil {
 			return i, err
 		}
+		if !s.inHead() {
+			continue
+		}
+		if s.headBytes += int64(n); s.headBytes > maxHeadBytes {
+			return i, errHeadTooLong
+		}
 	}
 	return len(p), nil
 }
 
+// inHead reports whether the head of a request has begun and is not complete.
+func (s *framingScanner) inHead() bool {
+	return s.state >= stateMethod && s.state <= stateFieldsEnd && !s.inTrailer
+}
+
 // step reads bytes of one part of a message, at least one unless it returns an error.
 func (s *framingScanner) step(p []byte) (int, *framingError) {
 	switch s.state {
--- a/internal/fleet/gateway/framing_scanner_test.go
+++ b/internal/fleet/gateway/framing_scanner_test.go
@@ -31,7 +31,7 @@
 	var scanner framingScanner
 	for i := range data {
 		before := scanner
-		_, result.err = scanner.scan(data[i : i+1])
+		_, result.err = scanner.scan(data[i:i+1], maxHeaderBytes)
 		if result.err != nil {
 			result.errorOffset = i
 			return result
@@ -123,7 +123,7 @@
 	}
 
 	var rejected atomic.Int64
-	conn := &framingConn{Conn: &scriptedConn{data: data, readSize: readSize}, rejected: &rejected}
+	conn := newFramingConn(&scriptedConn{data: data, readSize: readSize}, &rejected)
 	passed, _ := parseAll(conn, func(*bufio.Reader) int { return 0 })
 	require.Len(t, passed, min(len(parsed), len(scanned.spans)), "requests of %q", data)
 	for i := range passed {
@@ -159,10 +159,10 @@
 				require.Equal(t, c.err, scanned.err)
 				for split := range len(data) {
 					var scanner framingScanner
-					n, framingErr := scanner.scan(data[:split])
+					n, framingErr := scanner.scan(data[:split], maxHeaderBytes)
 					if framingErr == nil {
 						require.Equal(t, split, n)
-						n, framingErr = scanner.scan(data[split:])
+						n, framingErr = scanner.scan(data[split:], maxHeaderBytes)
 						n += split
 					}
 					require.Equal(t, c.err, framingErr)
@@ -198,7 +198,7 @@
 // endsInBody reports whether a message ends within a body or a chunk, where any byte is valid.
 func endsInBody(message string) bool {
 	var scanner framingScanner
-	_, _ = scanner.scan([]byte(message)) // a prefix of an unambiguous request
+	_, _ = scanner.scan([]byte(message), maxHeaderBytes) // a prefix of an unambiguous request
 	return scanner.state == stateBody || scanner.state == stateChunkData
 }
 
@@ -206,7 +206,7 @@
 	request := []byte(postHead + "Content-Length: 5\r\nTE: trailers\r\n\r\nhello" + chunkedHead + "5;a\r\nhello\r\n0\r\nX-A: 1\r\n\r\n")
 	var scanner framingScanner
 	require.Zero(t, testing.AllocsPerRun(100, func() {
-		if _, framingErr := scanner.scan(request); framingErr != nil {
+		if _, framingErr := scanner.scan(request, maxHeaderBytes); framingErr != nil {
 			t.Error(framingErr)
 		}
 	}))
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -18,19 +18,6 @@
 	"chalkdoor.example/chalkdoor/internal/fleet/settings"
 )
 
-const (
-	// readHeaderTimeout bounds the time for the head of a request, readBodyTimeout for its body.
-	// Configurations may allow less; their clients stay within that.
-	readHeaderTimeout, readBodyTimeout = 10 * time.Second, 10 * time.Second
-	// clientIdleTimeout is how long a client's connection stays open between requests.
-	clientIdleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds the head of a request.
-	maxHeaderBytes = 64 << 10
-	// startupWait is how long a request waits for a process that starts. It is less than a quarter
-	// of the shortest latency target of a route, so that a refusal still comes in time.
-	startupWait = 90 * time.Millisecond
-)
-
 const (
 	// bodyMemoryFraction is the part of the memory limit that request bodies may take, as a divisor.
 	bodyMemoryFraction = 4
@@ -47,6 +34,8 @@
 	bodyMemory *semaphore.Weighted // bytes of request bodies
 	server     *http.Server
 
+	clientConns *clientConns
+
 	snapshot       atomic.Pointer[relay.Snapshot] // never nil
 	inFlight       atomic.Int64                   // connections of clients that a request keeps open
 	shuttingDown   atomic.Bool
@@ -89,6 +78,7 @@
 		startedAt:       time.Now(),
 		pool:            newPool(max(nodeSettings.Limits.FileDescriptors/2, minUpstreamConns)),
 		bodyMemory:      semaphore.NewWeighted(nodeSettings.Limits.MemoryMB << 20 / bodyMemoryFraction),
+		clientConns:     newClientConns(),
 		cancelRequests:  cancel,
 		becameServable:  make(chan struct{}),
 		healthCheckWake: make(chan struct{}, 1),
@@ -96,14 +86,13 @@
 		retryBudget:     retrybudget.New(bounds.RetryRatio, retryWindow, bounds.RetrySlack),
 	}
 	if bounds.RevocationClosed {
-		g.keyMaxAge = max(time.Duration(bounds.RevokeMs)*time.Millisecond-revokeMargin, minKeyMaxAge)
+		g.keyMaxAge = KeyMaxAge(time.Duration(bounds.RevokeMs) * time.Millisecond)
 	}
 	g.snapshot.Store(&relay.Snapshot{})
 	g.server = &http.Server{
 		Handler:                      g,
-		ReadHeaderTimeout:            readHeaderTimeout,
-		IdleTimeout:                  clientIdleTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
+		ConnState:                    g.clientConns.stateChanged, // closes those that wait too long
 		ErrorLog:                     slog.NewLogLogger(slog.DiscardHandler, slog.LevelWarn),
 		ConnContext:                  withClientConn,
 		BaseContext:                  func(net.Listener) context.Context { return base },
@@ -140,31 +129,9 @@
 	g.wakeHealthChecks()
 }
 
-// isServable reports whether requests can be served: the snapshot is up to date and has a
-// configuration and at least one server.
-func isServable(snapshot *relay.Snapshot) bool {
-	return snapshot.Synced && snapshot.Config != nil && snapshot.Servers != nil && len(snapshot.Servers.ByID) > 0
-}
-
 // Config returns the configuration in force, nil before the first.
 func (g *Gateway) Config() *config.Document { return g.snapshot.Load().Config }
 
-// Servable reports whether requests can be served.
-func (g *Gateway) Servable() bool { return isServable(g.snapshot.Load()) }
-
-// waitServable gives a process that starts up to startupWait to become servable, and returns the
-// snapshot of that moment.
-func (g *Gateway) waitServable(ctx context.Context) *relay.Snapshot {
-	timer := time.NewTimer(startupWait)
-	defer timer.Stop()
-	select {
-	case <-g.becameServable:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return g.snapshot.Load()
-}
-
 // ServerStatuses returns the state of each server as this agent has observed it, for operators.
 func (g *Gateway) ServerStatuses() []balancer.ServerStatus {
 	g.mu.Lock()
--- a/internal/fleet/gateway/handler.go
+++ b/internal/fleet/gateway/handler.go
@@ -43,19 +43,13 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	receivedAt := time.Now()
 	g.Counters.Requests.Add(1)
-	confirmed := g.keysConfirmed(receivedAt) // of what is loaded after it
-	snapshot := g.snapshot.Load()
-	if !isServable(snapshot) {
-		snapshot = g.waitServable(req.Context())
-		if !isServable(snapshot) {
-			g.refuse(w, defaultRetryAfter, reasonStarting)
-			return
+	snapshot, refusal := g.servableSnapshot(req.Context(), receivedAt)
+	if refusal != "" {
+		if refusal == reasonUnconfirmed {
+			w.Header().Set("Connection", "close") // the client finds an agent that is not cut off
+			g.Counters.Unconfirmed.Add(1)
 		}
-	}
-	if !confirmed && snapshot.Config.HasTenants() {
-		w.Header().Set("Connection", "close") // the client finds an agent that is not cut off
-		g.Counters.Unconfirmed.Add(1)
-		g.refuse(w, defaultRetryAfter, reasonUnconfirmed)
+		g.refuse(w, g.startupRetryAfter(), refusal)
 		return
 	}
 	r, err := g.receive(w, req, snapshot, receivedAt)
--- a/internal/fleet/gateway/lifecycle.go
+++ b/internal/fleet/gateway/lifecycle.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/logevent"
+	"chalkdoor.example/chalkdoor/internal/fleet/registry"
 	"chalkdoor.example/chalkdoor/internal/http1"
 )
 
@@ -24,7 +25,7 @@
 
 // Serve accepts clients on a listener until Shutdown, and then returns nil.
 func (g *Gateway) Serve(listener net.Listener) error {
-	framing := &framingListener{Listener: listener, rejected: &g.Counters.Rejected}
+	framing := &framingListener{Listener: listener, rejected: &g.Counters.Rejected, clock: &g.clientConns.clock, limits: g.limits}
 	err := g.server.Serve(&http1.Listener{Listener: framing, InFlight: &g.inFlight})
 	if !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve clients")
@@ -32,11 +33,12 @@
 	return nil
 }
 
-// Run checks the health of servers and closes expired connections to them, until ctx ends. It
-// returns nil once all checks have ended.
+// Run checks the health of servers, closes expired connections to them, and those of clients that exceed
+// their limits, until ctx ends. It returns nil once all checks have ended.
 func (g *Gateway) Run(ctx context.Context) error {
 	var checks sync.WaitGroup
 	defer checks.Wait()
+	checks.Go(func() { g.clientConns.enforce(ctx, g.limits) })
 	timer := time.NewTimer(maxMaintenanceInterval)
 	defer timer.Stop()
 	for {
@@ -47,19 +49,25 @@
 		case <-g.healthCheckWake:
 		case <-timer.C:
 		}
-		g.pool.closeExpired()
-		now := g.now()
-		g.mu.Lock()
-		due := g.picker.DueHealthChecks(now)
-		wait := g.picker.HealthCheckInterval() - now
-		g.mu.Unlock()
+		due, next := g.maintain(g.now())
 		for _, instance := range due {
 			checks.Go(func() { g.checkHealth(ctx, instance) })
 		}
-		timer.Reset(min(max(wait, minMaintenanceInterval), maxMaintenanceInterval))
+		timer.Reset(next)
 	}
 }
 
+// maintain closes expired connections to servers, and returns the instances whose health is to be checked now
+// and after which time it wants to be called again.
+func (g *Gateway) maintain(now time.Duration) (due []*registry.Instance, next time.Duration) {
+	g.pool.closeExpired()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	due = g.picker.DueHealthChecks(now)
+	next = g.picker.HealthCheckInterval()
+	return due, min(max(next, minMaintenanceInterval), maxMaintenanceInterval)
+}
+
 // Shutdown ends service without dropping requests. For the time of linger connections are still
 // accepted, as clients learn of the shutdown late; every response closes its connection. Then the
 // listener is closed and the requests in flight are waited for until ctx ends, which cancels them.
--- a/internal/fleet/gateway/tenant.go
+++ b/internal/fleet/gateway/tenant.go
@@ -13,8 +13,9 @@
 
 const (
 	// revokeMargin is the part of the time for which API keys may be unconfirmed that is left to what
-	// is measured with two clocks.
-	revokeMargin = 250 * time.Millisecond
+	// is measured with two clocks, and revokeMarginDivisor gives its least share of a longer time: the
+	// clocks may run at different rates.
+	revokeMargin, revokeMarginDivisor = 250 * time.Millisecond, 20
 	// minKeyMaxAge is the least such time: a shorter one would refuse requests between two
 	// confirmations.
 	minKeyMaxAge = time.Second
@@ -22,6 +23,12 @@
 	minQuotaRetryAfter = 20 * time.Millisecond
 )
 
+// KeyMaxAge is for how long API keys may be unconfirmed when a request is received that has to be refused
+// from a time after the acknowledgement of its key's removal.
+func KeyMaxAge(revoke time.Duration) time.Duration {
+	return max(revoke-max(revokeMargin, revoke/revokeMarginDivisor), minKeyMaxAge)
+}
+
 // QuotaClient admits requests by the quota of their tenant.
 type QuotaClient interface {
 	// Admit asks for an amount of a tenant's quota.
@@ -117,7 +124,9 @@
 		return false
 	}
 	g.Counters.QuotaUnavailable.Add(1)
-	w.Header().Set("Connection", "close") // another agent may reach the core
+	if !decision.Undecided {
+		w.Header().Set("Connection", "close") // another agent may reach a holder
+	}
 	g.refuse(w, defaultRetryAfter, reasonQuota)
 	return false
 }
--- a/internal/fleet/gateway/tenant_test.go
+++ b/internal/fleet/gateway/tenant_test.go
@@ -214,3 +214,14 @@
 	}
 	require.Equal(t, len(client.asked)-1, len(client.returned), "all but the one that may have run")
 }
+
+// An agent whose clock runs slow by two in a hundred still refuses a removed key in time.
+func TestKeyMaxAgeAllowsForSlowClocks(t *testing.T) {
+	for revoke := minKeyMaxAge + revokeMargin; revoke < 2*time.Minute; revoke += 50 * time.Millisecond {
+		age := KeyMaxAge(revoke)
+		realAge := age + age/50
+		require.Less(t, realAge, revoke-revoke/50, "revoke-ms %v", revoke)
+		require.Greater(t, age, revoke*3/4, "it is not cut short")
+	}
+	require.Equal(t, 3750*time.Millisecond, KeyMaxAge(4*time.Second))
+}
