Keep a floor of each tenant's shares on disk, and forward questions of agents cut off

Cause: after a restart of everything the core's shares began with a tenth of the tolerance and half of the rate until deputies were there, and an agent that reached no holder refused limited tenants at once.

- Each holder writes ahead what may be spent in the next interval (quota/floor.go, record.go): never on the path of a request, at a bounded rate.
A torn, lost or wiped record gives the cautious start.
- An agent without a holder asks another agent, one hop, bounded, never in a circle (candidates.go).
- A gathering that ends by its time limit answers Unavailable (503), no more Exhausted (429).

--- a/internal/fleet/daemon/control_test.go
+++ b/internal/fleet/daemon/control_test.go
@@ -7,8 +7,6 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"chalkdoor.example/chalkdoor/internal/fleet/chain"
-	"chalkdoor.example/chalkdoor/internal/fleet/controlapi"
 	"chalkdoor.example/chalkdoor/internal/fleet/registry"
 )
 
@@ -26,15 +24,3 @@
 		assert.Equal(t, want, string(encoded))
 	}
 }
-
-func TestOutcomeOf(t *testing.T) {
-	t.Parallel()
-	for outcome, want := range map[chain.Outcome]controlapi.Outcome{
-		chain.OutcomeCommitted: controlapi.OutcomeCommitted,
-		chain.OutcomeConflict:  controlapi.OutcomeConflict,
-		chain.OutcomeInvalid:   controlapi.OutcomeInvalid,
-		77:                     controlapi.OutcomeUnknown,
-	} {
-		assert.Equal(t, want, outcomeOf(outcome))
-	}
-}
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -4,7 +4,6 @@
 package daemon
 
 import (
-	"context"
 	"hash/fnv"
 	"net"
 	"runtime/debug"
@@ -14,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	"chalkdoor.example/chalkdoor/internal/fleet/assembly"
 	"chalkdoor.example/chalkdoor/internal/fleet/chain"
 	"chalkdoor.example/chalkdoor/internal/fleet/config"
 	"chalkdoor.example/chalkdoor/internal/fleet/controlapi"
@@ -59,6 +59,7 @@
 	relay         *relay.Node
 	gateway       *gateway.Gateway
 	quotaBroker   *quota.Broker // nil where the contract on quotas is not active
+	quotaClient   *quota.Client // as quotaBroker
 	controlServer *controlapi.Server
 	recovery      *recoveryTracker
 	draining      atomic.Bool // set once the process has begun to shut down
@@ -84,10 +85,16 @@
 	d.gateway.KeysFreshAsOf = d.relay.ConfigFreshAsOf
 	d.gateway.OnSent = d.relay.BroadcastNotice
 	d.gateway.OnFirstServed = d.recovery.requestServed
-	d.controlServer = controlapi.NewServer(&controlBackend{d}, controlapi.Options{SubmitTimeout: submitTimeout, ReadTimeout: readTimeout})
+	d.controlServer = controlapi.NewServer(d.newControlBackend(), controlapi.Options{SubmitTimeout: submitTimeout, ReadTimeout: readTimeout})
 	return d, nil
 }
 
+// newControlBackend returns what carries out the calls of servers and operators. The relay must be open.
+func (d *Daemon) newControlBackend() *controlBackend {
+	calls := assembly.ControlBackend{Member: d.core, Relay: d.relay, Draining: d.draining.Load}
+	return &controlBackend{ControlBackend: calls, daemon: d}
+}
+
 // logUnsupported logs the settings that this version does not know.
 func logUnsupported(current *settings.Settings) {
 	for _, contract := range current.ActiveContracts {
@@ -118,8 +125,8 @@
 		HasDisk:        current.HasDisk(),
 		FirstStart:     current.FirstStart,
 		Seeds:          d.seedAddrs,
-		KnownAddresses: d.knownCoreAddrs,
-		Unreached:      d.unreachedAddrs,
+		KnownAddresses: func() []string { return assembly.KnownCoreAddrs(d.relay) },
+		Unreached:      func() []string { return assembly.UnreachedAddrs(d.relay) },
 		Tolerance: view.Tolerance{
 			Machines: current.Tolerance.Machines,
 			Zones:    current.Tolerance.Zones,
@@ -149,7 +156,7 @@
 			ControlAddr: current.Listen.Control,
 		},
 		HeartbeatInterval: time.Duration(current.HeartbeatPeriodMs) * time.Millisecond,
-		Core:              coreAdapter{d.core},
+		Core:              assembly.RelayCore{Member: d.core},
 		SeedAddrs:         d.seedAddrs,
 		OnChange:          d.applySnapshot,
 		OnAttached:        d.recovery.coreReachable,
@@ -191,73 +198,3 @@
 	}
 	return addrs
 }
-
-// knownCoreAddrs returns the agents' addresses of the members of the core, as the relay knows them.
-func (d *Daemon) knownCoreAddrs() []string {
-	if d.relay == nil { // the core is opened before the relay
-		return nil
-	}
-	var addrs []string
-	for _, member := range d.relay.OtherMembers(true) {
-		addrs = append(addrs, member.Addr)
-	}
-	return addrs
-}
-
-// unreachedAddrs returns the agents' addresses that should be told the view.
-func (d *Daemon) unreachedAddrs() []string {
-	if d.relay == nil { // the core is opened before the relay
-		return nil
-	}
-	return d.relay.UnreachedAddrs()
-}
-
-// coreAdapter is the core as the relay sees it.
-type coreAdapter struct{ member *controlplane.Member }
-
-// IsMember implements relay.Core.
-func (c coreAdapter) IsMember() bool { return c.member.IsVoter() }
-
-// HasQuorum implements relay.Core.
-func (c coreAdapter) HasQuorum() bool { return c.member.HasQuorum() }
-
-// Members implements relay.Core.
-func (c coreAdapter) Members() []relay.Peer {
-	current, ok := c.member.View()
-	if !ok {
-		return nil
-	}
-	peers := make([]relay.Peer, len(current.Voters))
-	for i, voter := range current.Voters {
-		peers[i] = relay.Peer{Addr: voter.Addr, Zone: voter.Zone}
-	}
-	return peers
-}
-
-const (
-	// configReadTimeout bounds one attempt to read the newest configuration, and
-	// configReadRetryInterval is the pause before the next.
-	configReadTimeout       = time.Second
-	configReadRetryInterval = 200 * time.Millisecond
-)
-
-// loadNewestConfig reads the newest configuration from the core, with retries until ctx ends. Until it
-// has been read, the relay does not rely on the configuration that it has.
-func (d *Daemon) loadNewestConfig(ctx context.Context) {
-	for ctx.Err() == nil {
-		attempt, cancel := context.WithTimeout(ctx, configReadTimeout)
-		newest, err := d.core.Read(attempt)
-		cancel()
-		if err == nil {
-			if newest.Seq > 0 {
-				d.relay.ApplyConfig(newest.Seq, newest.Body)
-			}
-			d.relay.MarkConfigCurrent()
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(configReadRetryInterval):
-		}
-	}
-}
--- a/internal/fleet/daemon/run.go
+++ b/internal/fleet/daemon/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"chalkdoor.example/chalkdoor/internal/fleet/assembly"
 	"chalkdoor.example/chalkdoor/internal/fleet/logevent"
 	"chalkdoor.example/chalkdoor/internal/fleet/rpc"
 	"chalkdoor.example/chalkdoor/internal/fleet/settings"
@@ -77,6 +78,7 @@
 	d.relay.RegisterHandlers(handlers)
 	if d.quotaBroker != nil {
 		d.quotaBroker.RegisterHandlers(handlers)
+		d.quotaClient.RegisterHandlers(handlers)
 	}
 	started.start("peers", func() error { return rpc.Serve(ctx, opened.peers, handlers) })
 	if d.quotaBroker != nil {
@@ -85,7 +87,7 @@
 	started.start("core", func() error { return d.core.Run(ctx) })
 	started.start("relay", func() error { return d.relay.Run(ctx) })
 	started.start("gateway", func() error { return d.gateway.Run(ctx) })
-	started.start("newest configuration", func() error { d.loadNewestConfig(ctx); return nil })
+	started.start("newest configuration", func() error { assembly.LoadNewestConfig(ctx, d.core, d.relay); return nil })
 	started.start("settings", func() error { d.watchSettings(ctx, reload); return nil })
 	if opened.control != nil {
 		started.start("control", func() error { return d.controlServer.Serve(ctx, opened.control) })
--- a/internal/fleet/quota/broker.go
+++ b/internal/fleet/quota/broker.go
@@ -17,6 +17,8 @@
 const (
 	callAdmit = "quota.admit"
 	callDraw  = "quota.draw"
+	// callForward asks another agent to ask a holder.
+	callForward = "quota.forward"
 	// callDeputize asks a member of the core for a part of its share.
 	callDeputize = "quota.deputize"
 )
@@ -52,6 +54,9 @@
 type admitResponse struct {
 	Verdict      Verdict `msgpack:"v"`
 	RetryAfterMs int64   `msgpack:"r,omitempty"` // of Exhausted
+	// Undecided, of Unavailable: the holder has asked the others, and none has answered in time. To ask
+	// another one would only have them all asked again.
+	Undecided bool `msgpack:"u,omitempty"`
 }
 
 // drawRequest asks another holder for what a share lacks.
@@ -67,16 +72,22 @@
 	Level  float64 `msgpack:"l"` // what its share then has
 }
 
+// MaxConfirmedAge is how long ago a member of the core must have been confirmed by a majority to admit
+// requests by its share: a member that was replaced while it is cut off learns it no other way.
+const MaxConfirmedAge = 3 * time.Second
+
 // Core is what a broker needs to know of the core. Its methods are safe for concurrent use.
 type Core interface {
 	// IsMember reports whether this process is a member of the core, and Confirmed whether a majority
-	// has lately confirmed that.
+	// has confirmed that within MaxConfirmedAge.
 	IsMember() bool
 	Confirmed() bool
 	// MemberAddrs returns the addresses of all members, and HolderAddrs those of all members and their
 	// deputies, those of the own zone first.
 	MemberAddrs() []string
 	HolderAddrs() []string
+	// AgentAddrs returns the addresses of other agents, those of the own zone first.
+	AgentAddrs() []string
 	// PublishDeputy publishes whether this process is a deputy.
 	PublishDeputy(deputy bool)
 }
@@ -88,6 +99,12 @@
 	SelfAddr string
 	Core     Core
 	Pool     *rpc.Pool
+	// FirstStart tells that no process of the fleet has run before.
+	FirstStart bool
+	// SaveRecord writes the record of a member of the core to its disk, and returns once it is there;
+	// SavedRecord is the one that an earlier process has written last. Both are nil without a disk.
+	SaveRecord  func(record []byte) error
+	SavedRecord []byte
 }
 
 // Broker admits requests by one member's ledger. It is safe for concurrent use.
@@ -98,7 +115,7 @@
 	mu           sync.Mutex // guards all that follows
 	ledger       *Ledger
 	gathering    map[string]chan struct{} // by tenant whose draws are in progress; closed at their end
-	exhausted    map[string]time.Duration // until when a tenant counts as exhausted
+	exhausted    map[string]exhaustion    // of tenants for which lately nothing more could be drawn
 	unresponsive map[string]time.Duration // until when a holder is not drawn from
 	rejected     map[string]int64         // by tenant, since the start
 	// peerLevels is what the shares of other members had when they were last drawn from, by tenant and
@@ -106,21 +123,31 @@
 	peerLevels map[string]map[string]float64
 	deputy     deputy      // of this process, as a member of the core
 	appointed  appointment // of this process, as a deputy
+	appointing string      // the agent whose appointment is being recorded, "" if none is
+	// recordedDeputy is the deputy by the newest record that is certainly on disk.
+	recordedDeputy string
+	// recordedSettled: that record says that a process may begin anew.
+	recordedSettled bool
+
+	// recording has a token while a record is being written. Nobody waits for it with mu held.
+	recording chan struct{}
 }
 
 // NewBroker returns a broker without tenants.
 func NewBroker(options Options) *Broker {
-	return &Broker{
+	b := &Broker{
 		options:      options,
 		started:      time.Now(),
 		ledger:       NewLedger(options.Bounds),
 		gathering:    map[string]chan struct{}{},
-		exhausted:    map[string]time.Duration{},
+		exhausted:    map[string]exhaustion{},
 		unresponsive: map[string]time.Duration{},
 		rejected:     map[string]int64{},
 		peerLevels:   map[string]map[string]float64{},
-		deputy:       deputy{until: restartHold}, // of an earlier process on this machine
+		recording:    make(chan struct{}, 1),
 	}
+	b.restore(options.SavedRecord)
+	return b
 }
 
 // RegisterHandlers adds the calls of agents and of other members to the process's table.
@@ -204,8 +231,8 @@
 		return noShare, nil, admitResponse{Verdict: Unavailable} // by another configuration than the agent's
 	case b.ledger.Take(now, tenant, amount):
 		return amount, nil, admitResponse{Verdict: Admitted}
-	case now < b.exhausted[tenant]:
-		return noShare, nil, b.rejectLocked(tenant, amount)
+	case now < b.exhausted[tenant].until:
+		return noShare, nil, b.rejectLocked(tenant, amount, b.exhausted[tenant].proven)
 	}
 	if running := b.gathering[tenant]; running != nil {
 		return 0, running, admitResponse{}
@@ -214,8 +241,19 @@
 	return b.ledger.Draw(now, tenant, amount), nil, admitResponse{Verdict: Unavailable}
 }
 
-// rejectLocked counts and returns a rejection.
-func (b *Broker) rejectLocked(tenant string, amount float64) admitResponse {
+// exhaustion is for how long a tenant counts as exhausted after nothing more could be drawn, and whether
+// another holder has told so.
+type exhaustion struct {
+	until  time.Duration
+	proven bool
+}
+
+// rejectLocked counts and returns a rejection. Unless it is proven that the tenant is over its quota, the
+// verdict is that nobody can tell.
+func (b *Broker) rejectLocked(tenant string, amount float64, proven bool) admitResponse {
+	if !proven {
+		return admitResponse{Verdict: Unavailable, Undecided: true}
+	}
 	b.rejected[tenant]++
 	return admitResponse{Verdict: Exhausted, RetryAfterMs: b.ledger.RetryAfter(tenant, amount).Milliseconds()}
 }
@@ -228,15 +266,18 @@
 	others := b.drawOrderLocked(tenant, holders)
 	room := b.ledger.Room(b.now(), tenant)
 	b.mu.Unlock()
-	draws := make(chan float64, len(others))
-	next, pending := 0, 0
+	draws := make(chan draw, len(others))
+	next, pending, answered := 0, 0, 0
 	hedge := time.NewTimer(0)
 	defer hedge.Stop()
 	for taken < amount && ctx.Err() == nil && (next < len(others) || pending > 0) {
 		select {
 		case drawn := <-draws:
-			taken += drawn
+			taken += drawn.amount
 			pending--
+			if drawn.answered {
+				answered++
+			}
 			hedge.Reset(0)
 		case <-hedge.C:
 			if next < len(others) {
@@ -253,11 +294,14 @@
 	if pending > 0 {
 		go b.returnLate(tenant, draws, pending)
 	}
-	return b.finishGathering(tenant, amount, taken)
+	isAlone := len(holders) == 0 || len(holders) == 1 && holders[0] == b.options.SelfAddr
+	return b.finishGathering(tenant, amount, taken, answered > 0 || isAlone)
 }
 
-// finishGathering ends the gathering for a tenant.
-func (b *Broker) finishGathering(tenant string, amount, taken float64) admitResponse {
+// finishGathering ends the gathering for a tenant. Unless another holder has answered, or there is none, the
+// tenant may be within its quota. To want an answer of all of them costs more than it is worth: under a
+// hot tenant some are always late, and clients come back sooner after 503 than after 429.
+func (b *Broker) finishGathering(tenant string, amount, taken float64, proven bool) admitResponse {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	close(b.gathering[tenant])
@@ -268,16 +312,16 @@
 		return admitResponse{Verdict: Admitted}
 	}
 	b.ledger.Return(now, tenant, taken)
-	b.exhausted[tenant] = now + exhaustedPause
-	return b.rejectLocked(tenant, amount-taken)
+	b.exhausted[tenant] = exhaustion{until: now + exhaustedPause, proven: proven}
+	return b.rejectLocked(tenant, amount-taken, proven)
 }
 
 // returnLate adds to the own share what is drawn after its gathering has ended.
-func (b *Broker) returnLate(tenant string, draws <-chan float64, pending int) {
+func (b *Broker) returnLate(tenant string, draws <-chan draw, pending int) {
 	for range pending {
 		drawn := <-draws
 		b.mu.Lock()
-		b.ledger.Return(b.now(), tenant, drawn)
+		b.ledger.Return(b.now(), tenant, drawn.amount)
 		b.mu.Unlock()
 	}
 }
@@ -307,8 +351,15 @@
 	return others
 }
 
-// drawFrom draws from one other holder, and returns how much it gave.
-func (b *Broker) drawFrom(addr string, request *drawRequest) float64 {
+// draw is what one other holder gave.
+type draw struct {
+	amount float64
+	// answered: it told what it has, or can't be reached, so that its share is lost with it.
+	answered bool
+}
+
+// drawFrom draws from one other holder.
+func (b *Broker) drawFrom(addr string, request *drawRequest) draw {
 	ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
 	defer cancel()
 	response, err := rpc.Call[drawRequest, drawResponse](ctx, b.options.Pool, addr, callDraw, request)
@@ -317,7 +368,7 @@
 	if err != nil {
 		b.unresponsive[addr] = b.now() + unresponsivePause
 		b.forgetResponsiveLocked()
-		return 0
+		return draw{answered: ctx.Err() == nil}
 	}
 	levels := b.peerLevels[request.Tenant]
 	if levels == nil {
@@ -325,7 +376,7 @@
 		b.peerLevels[request.Tenant] = levels
 	}
 	levels[addr] = response.Level
-	return max(min(response.Amount, request.Amount+request.Extra), 0)
+	return draw{amount: max(min(response.Amount, request.Amount+request.Extra), 0), answered: true}
 }
 
 // forgetResponsiveLocked drops the holders that may be drawn from again.
--- a/internal/fleet/quota/broker_test.go
+++ b/internal/fleet/quota/broker_test.go
@@ -27,6 +27,7 @@
 	isMember  bool
 	confirmed atomic.Bool
 	isDeputy  atomic.Bool // as published
+	holders   []string    // that this process knows, nil: all
 	broker    *Broker
 	client    *Client
 	stop      func()
@@ -40,6 +41,9 @@
 
 // HolderAddrs implements Core.
 func (p *testProcess) HolderAddrs() []string {
+	if p.holders != nil {
+		return slices.Clone(p.holders)
+	}
 	holders := slices.Clone(p.fleet.members)
 	for _, other := range p.fleet.all {
 		if other.isDeputy.Load() {
@@ -49,6 +53,15 @@
 	return holders
 }
 
+// AgentAddrs implements Core.
+func (p *testProcess) AgentAddrs() []string {
+	var addrs []string
+	for _, other := range p.fleet.all {
+		addrs = append(addrs, other.addr)
+	}
+	return addrs
+}
+
 // PublishDeputy implements Core.
 func (p *testProcess) PublishDeputy(deputy bool) { p.isDeputy.Store(deputy) }
 
@@ -89,6 +102,7 @@
 	p.client = NewClient(options, p.broker)
 	table := rpc.NewMux()
 	p.broker.RegisterHandlers(table)
+	p.client.RegisterHandlers(table)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = rpc.Serve(ctx, listener, table) })
@@ -266,26 +280,29 @@
 	require.Equal(t, 2, NewBroker(member.options).ledgerDivisor(t), "after a restart it counts on an earlier deputy")
 }
 
-// A member that has just started prolongs the term of its deputy at once, and appoints no other before that
-// one would have asked.
+// A member that has just started, without a record, prolongs the term of its deputy at once, and appoints
+// no other before that one's term is certainly over.
 func TestMemberThatRestartsKeepsItsDeputy(t *testing.T) {
 	fleet := newTestFleet(t, 1, 1, smallQuota())
 	agent := fleet.all[1].broker
 	agent.askToBeDeputy(context.Background())
 	member := fleet.all[0].broker
-	member.deputy = deputy{until: member.now() + restartHold} // as after a restart
+	member.restore(nil) // as after a restart
 	stranger, err := member.handleDeputize(context.Background(), &deputizeRequest{Addr: "b"})
 	require.NoError(t, err)
-	require.Zero(t, stranger.Divisor)
-	require.True(t, stranger.Soon)
+	require.Equal(t, &deputizeResponse{Soon: true}, stranger)
 	agent.askToBeDeputy(context.Background())
 	require.Equal(t, fleet.all[1].addr, member.Report().Deputy)
 	stranger, err = member.handleDeputize(context.Background(), &deputizeRequest{Addr: "b"})
 	require.NoError(t, err)
 	require.Equal(t, &deputizeResponse{}, stranger)
 
-	member.deputy = deputy{until: member.now() + restartHold}
-	member.started = member.started.Add(-restartHold)
+	member.restore(nil)
+	member.started = member.started.Add(-deputyTerm)
+	stranger, err = member.handleDeputize(context.Background(), &deputizeRequest{Addr: "b"})
+	require.NoError(t, err)
+	require.Zero(t, stranger.Divisor, "the margin is not over")
+	member.started = member.started.Add(-deputyMargin)
 	stranger, err = member.handleDeputize(context.Background(), &deputizeRequest{Addr: "b"})
 	require.NoError(t, err)
 	require.Equal(t, 2, stranger.Divisor, "the earlier deputy did not ask")
@@ -325,3 +342,167 @@
 	decision := fleet.all[0].client.Admit(context.Background(), "t", 0.3*startTotal())
 	require.Equal(t, Admitted, decision.Verdict, "a fifth and a part of the other's fifth")
 }
+
+// What could not be drawn from holders that did not answer in time may be there: the tenant is not said to
+// be over its quota.
+func TestUnansweredDrawsProveNothing(t *testing.T) {
+	fleet := newTestFleet(t, 1, 0, smallQuota())
+	silent := newSilentHolder(t)
+	fleet.members = append(fleet.members, silent)
+	member := fleet.all[0]
+	amount := 0.7 * startTotal()
+	decision := member.client.Admit(context.Background(), "t", amount)
+	require.Equal(t, Decision{Verdict: Unavailable, Undecided: true}, decision)
+	require.Equal(t, decision, member.client.Admit(context.Background(), "t", amount), "nobody is asked again at once")
+	require.InDelta(t, startTotal()/2, member.broker.Report().Shares[0].Level, 1, "what was taken is back")
+}
+
+// A tenant is over its quota by the holders that answer, though another one is lost.
+func TestExhaustedAmongTheHoldersThatAnswer(t *testing.T) {
+	fleet := newTestFleet(t, 2, 0, smallQuota())
+	fleet.members = append(fleet.members, newSilentHolder(t))
+	member := fleet.all[0]
+	require.Equal(t, Exhausted, member.client.Admit(context.Background(), "t", 0.8*startTotal()).Verdict)
+}
+
+// A holder that could not tell is not passed over: the next one would ask all the others again.
+func TestUndecidedAnswerIsFinal(t *testing.T) {
+	fleet := newTestFleet(t, 3, 1, smallQuota())
+	silent := newSilentHolder(t)
+	agent := fleet.all[3]
+	for _, member := range fleet.all[:3] {
+		member.holders = []string{member.addr, silent}
+	}
+	decision := agent.client.Admit(context.Background(), "t", 0.95*startTotal())
+	require.Equal(t, Decision{Verdict: Unavailable, Undecided: true}, decision)
+	asked := 0
+	for _, member := range fleet.all[:3] {
+		member.broker.mu.Lock()
+		if len(member.broker.exhausted) > 0 {
+			asked++
+		}
+		member.broker.mu.Unlock()
+	}
+	require.Equal(t, 1, asked)
+}
+
+// newSilentHolder returns the address of a holder that accepts connections, and never answers.
+func newSilentHolder(t *testing.T) string {
+	t.Helper()
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	return silent.Addr().String()
+}
+
+// An agent that reaches no holder has another agent ask one: at once where all refuse, and else once none has
+// answered for some time.
+func TestAgentWithoutHoldersAsksThroughAnother(t *testing.T) {
+	type unreachable struct {
+		holders  func(t *testing.T) []string
+		isSilent bool
+	}
+	for name, test := range map[string]unreachable{
+		"none known": {holders: func(*testing.T) []string { return []string{} }},
+		"all refuse": {holders: func(*testing.T) []string { return []string{"127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1"} }},
+		"all silent": {isSilent: true, holders: func(t *testing.T) []string {
+			return []string{newSilentHolder(t), newSilentHolder(t), newSilentHolder(t), newSilentHolder(t), newSilentHolder(t)}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newTestFleet(t, 2, 2, smallQuota())
+			agent := fleet.all[2]
+			agent.holders = test.holders(t)
+			if test.isSilent {
+				require.Equal(t, Unavailable, agent.client.Admit(context.Background(), "t", 1).Verdict)
+				agent.client.started = agent.client.started.Add(-cutOffAfter)
+			}
+			require.Equal(t, Admitted, agent.client.Admit(context.Background(), "t", startTotal()*0.9).Verdict)
+			require.Equal(t, Exhausted, agent.client.Admit(context.Background(), "t", startTotal()*0.9).Verdict)
+		})
+	}
+}
+
+// An agent that was cut off learns that it no longer is, though other agents answer sooner.
+func TestAgentLearnsThatHoldersAnswerAgain(t *testing.T) {
+	fleet := newTestFleet(t, 1, 2, smallQuota())
+	client := fleet.all[1].client
+	client.unansweredSince = 1
+	client.started = client.started.Add(-2 * cutOffAfter)
+	isCutOff := func() bool {
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		return client.unansweredSince == 1
+	}
+	require.Equal(t, Admitted, client.Admit(context.Background(), "t", 1).Verdict)
+	require.Eventually(t, func() bool { return !isCutOff() }, 10*time.Second, time.Millisecond)
+}
+
+// A slow holder is no reason to ask other agents.
+func TestSlowHoldersAreNotAskedThroughAgents(t *testing.T) {
+	fleet := newTestFleet(t, 1, 2, smallQuota())
+	agent := fleet.all[1]
+	agent.holders = []string{newSilentHolder(t), newSilentHolder(t), fleet.members[0]}
+	for range 2 {
+		require.Equal(t, Admitted, agent.client.Admit(context.Background(), "t", 1).Verdict)
+		agent.client.started = agent.client.started.Add(-cutOffAfter - unresponsivePause)
+	}
+	agent.client.mu.Lock()
+	defer agent.client.mu.Unlock()
+	require.Zero(t, agent.client.unansweredSince)
+}
+
+// A question makes one hop: agents that all reach no holder do not ask each other on and on.
+func TestQuestionsAreForwardedOnce(t *testing.T) {
+	fleet := newTestFleet(t, 1, 4, smallQuota())
+	for _, agent := range fleet.all[1:] {
+		agent.holders = []string{}
+	}
+	fleet.all[0].isMember = false // nor does it admit
+	require.Equal(t, Unavailable, fleet.all[1].client.Admit(context.Background(), "t", 1).Verdict)
+	for _, agent := range fleet.all[2:] {
+		agent.client.mu.Lock()
+		assert.Zero(t, agent.client.forwarding)
+		assert.Empty(t, agent.client.unresponsive, "it has asked nobody")
+		agent.client.mu.Unlock()
+	}
+}
+
+// An agent forwards a bounded number of questions at a time.
+func TestForwardingIsBounded(t *testing.T) {
+	fleet := newTestFleet(t, 1, 1, smallQuota())
+	forwarder := fleet.all[1].client
+	forwarder.forwarding = maxForwarding
+	request := &admitRequest{Tenant: "t", Amount: 1}
+	response, err := forwarder.handleForward(context.Background(), request)
+	require.NoError(t, err)
+	require.Equal(t, Unavailable, response.Verdict)
+	forwarder.forwarding = maxForwarding - 1
+	response, err = forwarder.handleForward(context.Background(), request)
+	require.NoError(t, err)
+	require.Equal(t, Admitted, response.Verdict)
+	require.Equal(t, maxForwarding-1, forwarder.forwarding)
+}
+
+// Holders come first, and other agents once all have failed; they take turns where no holder has answered lately.
+func TestOrderOfCandidates(t *testing.T) {
+	order := func(holders, agents int, isCutOff, answer bool) (calls string) {
+		asked := &candidates{holders: make([]string, holders), isCutOff: isCutOff, agents: func() []string { return make([]string, agents) }}
+		for pending := 0; ; {
+			next, found := asked.next(pending)
+			if !found {
+				return calls
+			}
+			calls += map[string]string{callAdmit: "h", callForward: "a"}[next.call]
+			if !answer {
+				pending++
+			}
+		}
+	}
+	assert.Equal(t, "hhhhaa", order(4, 5, false, true))
+	assert.Equal(t, "hhhh", order(4, 5, false, false), "they may still answer")
+	assert.Equal(t, "ahahhh", order(4, 5, true, false))
+	assert.Equal(t, "ahhh", order(3, 1, true, true))
+	assert.Equal(t, "aa", order(0, 3, false, true))
+	assert.Empty(t, order(0, 0, true, true))
+}
--- a/internal/fleet/quota/client.go
+++ b/internal/fleet/quota/client.go
@@ -13,6 +13,11 @@
 	// maxHoldersAsked how many are.
 	hedgeDelay      = 40 * time.Millisecond
 	maxHoldersAsked = 4
+	// maxAgentsAsked is how many other agents are asked to forward a question.
+	maxAgentsAsked = 2
+	// cutOffAfter is for how long no holder must have answered any question until other agents are asked
+	// first.
+	cutOffAfter = 300 * time.Millisecond
 	// admitTimeout bounds the time until a verdict.
 	admitTimeout = 200 * time.Millisecond
 	// returnedLifetime is for how long what was not used may be used by other requests of the tenant.
@@ -27,6 +32,8 @@
 type Decision struct {
 	Verdict    Verdict
 	RetryAfter time.Duration // of Exhausted
+	// Undecided, of Unavailable: a holder was reached, and could not tell.
+	Undecided bool
 }
 
 // Client asks members of the core, or their deputies, to admit requests. It is safe for concurrent use.
@@ -38,7 +45,10 @@
 	mu           sync.Mutex                // guards all that follows
 	returned     map[string]returnedAmount // by tenant
 	paused       map[string]pause          // by tenant
-	unresponsive map[string]time.Duration  // until when a holder is asked last
+	unresponsive map[string]time.Duration  // until when a holder or agent is asked last
+	forwarding   int                       // questions of other agents in progress
+	// unansweredSince is when the first question was asked since a holder has answered one; 0: there is none.
+	unansweredSince time.Duration
 }
 
 // returnedAmount is what was admitted and not used.
@@ -49,8 +59,9 @@
 
 // pause is a time in which requests of some size are known to be rejected.
 type pause struct {
-	until, retryAfter time.Duration
-	amount            float64
+	until    time.Duration
+	amount   float64
+	decision Decision
 }
 
 // NewClient returns a client that asks the broker of its own process where that admits.
@@ -75,19 +86,31 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
-	var response admitResponse
-	if _, ok := c.broker.divisor(); ok {
-		response = c.broker.admit(ctx, tenant, amount)
-	} else {
-		response = c.ask(ctx, &admitRequest{Tenant: tenant, Amount: amount})
+	response := c.admitDirectly(ctx, &admitRequest{Tenant: tenant, Amount: amount}, true)
+	decision := Decision{
+		Verdict:    response.Verdict,
+		RetryAfter: time.Duration(response.RetryAfterMs) * time.Millisecond,
+		Undecided:  response.Undecided,
 	}
-	decision := Decision{Verdict: response.Verdict, RetryAfter: time.Duration(response.RetryAfterMs) * time.Millisecond}
-	if decision.Verdict == Exhausted {
-		c.recordExhausted(tenant, amount, decision.RetryAfter)
+	switch {
+	case decision.Verdict == Exhausted:
+		c.pause(tenant, amount, decision, min(decision.RetryAfter, maxLocalPause))
+	case decision.Undecided:
+		c.pause(tenant, amount, decision, maxLocalPause)
 	}
 	return decision
 }
 
+// admitDirectly asks the broker of this process if that admits, holders and other agents if not.
+func (c *Client) admitDirectly(ctx context.Context, request *admitRequest, mayForward bool) admitResponse {
+	if _, ok := c.broker.divisor(); ok {
+		if response := c.broker.admit(ctx, request.Tenant, request.Amount); response.isFinal() || ctx.Err() != nil {
+			return response
+		}
+	}
+	return c.ask(ctx, request, c.candidates(mayForward))
+}
+
 // Return gives back what was admitted and not used: other requests of the tenant may use it at this
 // agent for some time.
 func (c *Client) Return(tenant string, amount float64) {
@@ -115,27 +138,30 @@
 		return Decision{Verdict: Admitted}, true
 	}
 	if paused, found := c.paused[tenant]; found && now < paused.until && amount >= paused.amount {
-		return Decision{Verdict: Exhausted, RetryAfter: paused.retryAfter}, true
+		return paused.decision, true
 	}
 	return Decision{}, false
 }
 
-// recordExhausted has requests of a tenant that are not smaller rejected for a moment without asking.
-func (c *Client) recordExhausted(tenant string, amount float64, retryAfter time.Duration) {
+// pause has requests of a tenant that are not smaller get the same decision for a moment without asking.
+func (c *Client) pause(tenant string, amount float64, decision Decision, length time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.paused) >= maxTenantsCached {
 		clear(c.paused)
 	}
-	c.paused[tenant] = pause{until: c.now() + min(retryAfter, maxLocalPause), retryAfter: retryAfter, amount: amount}
+	c.paused[tenant] = pause{until: c.now() + length, amount: amount, decision: decision}
 }
 
-// ask asks holders in turn: the next one once the one before has failed, or has not answered for
-// hedgeDelay. What a holder admits after another has is returned.
-func (c *Client) ask(ctx context.Context, request *admitRequest) admitResponse {
-	holders := c.holdersToAsk()
-	answers := make(chan admitResponse, len(holders))
-	asked, pending := 0, 0
+// isFinal reports whether no other holder has to be asked.
+func (r *admitResponse) isFinal() bool { return r.Verdict != Unavailable || r.Undecided }
+
+// ask asks candidates in turn: the next one once the one before has failed, or has not answered for
+// hedgeDelay. What one admits after another has is returned.
+func (c *Client) ask(ctx context.Context, request *admitRequest, asked *candidates) admitResponse {
+	answers := make(chan admitResponse, asked.limit())
+	pending := 0
+	var latest candidate
 	defer func() {
 		if pending > 0 {
 			go c.returnLate(request, answers, pending)
@@ -147,20 +173,20 @@
 		select {
 		case answer := <-answers:
 			pending--
-			if answer.Verdict != Unavailable {
+			if answer.isFinal() {
 				return answer
 			}
 			hedge.Reset(0)
 		case <-hedge.C:
 			if pending > 0 {
-				c.setUnresponsive(holders[asked-1])
+				c.setUnresponsive(latest.addr)
 			}
-			if asked < len(holders) {
-				addr := holders[asked]
-				asked++
+			next, found := asked.next(pending)
+			if found {
+				latest = next
 				pending++
-				go func() { answers <- c.askHolder(addr, request) }()
-				hedge.Reset(hedgeDelay)
+				go func() { answers <- c.askCandidate(next, request) }()
+				hedge.Reset(asked.delay())
 			} else if pending == 0 {
 				return admitResponse{Verdict: Unavailable}
 			}
@@ -179,38 +205,22 @@
 	}
 }
 
-// holdersToAsk returns the holders in the order in which they are asked: those that did not answer lately
-// come last.
-func (c *Client) holdersToAsk() []string {
-	holders := c.options.Core.HolderAddrs()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.now()
-	var ordered, last []string
-	for _, addr := range holders {
-		if now < c.unresponsive[addr] {
-			last = append(last, addr)
-		} else {
-			ordered = append(ordered, addr)
-		}
-	}
-	ordered = append(ordered, last...)
-	return ordered[:min(len(ordered), maxHoldersAsked)]
-}
-
-// askHolder asks one holder.
-func (c *Client) askHolder(addr string, request *admitRequest) admitResponse {
+// askCandidate asks one candidate.
+func (c *Client) askCandidate(asked candidate, request *admitRequest) admitResponse {
 	ctx, cancel := context.WithTimeout(context.Background(), admitTimeout)
 	defer cancel()
-	response, err := rpc.Call[admitRequest, admitResponse](ctx, c.options.Pool, addr, callAdmit, request)
+	response, err := rpc.Call[admitRequest, admitResponse](ctx, c.options.Pool, asked.addr, asked.call, request)
 	if err != nil {
-		c.setUnresponsive(addr)
+		c.setUnresponsive(asked.addr)
 		return admitResponse{Verdict: Unavailable}
 	}
+	if asked.call == callAdmit {
+		c.holderAnswered()
+	}
 	return *response
 }
 
-// setUnresponsive has a holder asked last for some time.
+// setUnresponsive has a holder or agent asked last for some time.
 func (c *Client) setUnresponsive(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/quota/deputy.go
+++ b/internal/fleet/quota/deputy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/rpc"
@@ -18,14 +19,12 @@
 	// longer the member counts on it: their clocks may run at slightly different rates.
 	deputyTerm   = 4500 * time.Millisecond
 	deputyMargin = 500 * time.Millisecond
-	// restartHold is for how long a member that has just started waits for an earlier deputy, which asks
-	// every deputyRenewal, before it appoints another. One that is cut off from the member for longer
-	// may hold its part beside the new one until its term is over; the bounds have room for that.
-	restartHold = 1200 * time.Millisecond
 	// deputyRenewal is the time between two questions of a deputy, candidateInterval that of an agent
-	// that was told that there is one. The same again is added at random.
+	// that was told that there is one, and soonInterval that of one that was told to ask again soon. Up
+	// to the same again is added at random to the last two.
 	deputyRenewal     = 700 * time.Millisecond
 	candidateInterval = 4 * time.Second
+	soonInterval      = 400 * time.Millisecond
 	// candidateTick is how often it is looked whether a question is due.
 	candidateTick = 200 * time.Millisecond
 	// deputizeTimeout bounds a question.
@@ -42,7 +41,7 @@
 // deputizeResponse answers it.
 type deputizeResponse struct {
 	Divisor int `msgpack:"d"` // the deputy has one of so many equal shares; 0: it is none
-	// Soon: there is no deputy yet, but one may be appointed within restartHold.
+	// Soon: there is no deputy yet that is known, but one may be appointed soon.
 	Soon bool `msgpack:"s,omitempty"`
 }
 
@@ -80,26 +79,72 @@
 	return b.appointed.divisor, b.now() < b.appointed.until
 }
 
-// handleDeputize appoints the agent that asks, or prolongs its term, if there is no other deputy.
+// handleDeputize appoints the agent that asks, or prolongs its term, if there is no other deputy. The
+// appointment is on disk before it is answered: after a restart this member waits for the deputy, or
+// until its term is certainly over.
 func (b *Broker) handleDeputize(_ context.Context, request *deputizeRequest) (*deputizeResponse, error) {
-	if !b.options.Core.IsMember() || !b.options.Core.Confirmed() || request.Addr == "" {
+	if !b.options.Core.IsMember() || request.Addr == "" {
 		return &deputizeResponse{}, nil
 	}
+	if !b.options.Core.Confirmed() {
+		return &deputizeResponse{Soon: true}, nil
+	}
 	members := len(b.options.Core.MemberAddrs())
+	if refusal := b.reserveDeputy(request); refusal != nil {
+		return refusal, nil
+	}
+	recorded := b.recordDeputy(request.Addr)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.now()
-	earlier := b.deputy.addr == "" && request.Renewal // appointed by an earlier process on this machine
-	if now < b.deputy.until && b.deputy.addr != request.Addr && !earlier {
-		return &deputizeResponse{Soon: b.deputy.addr == ""}, nil
+	if b.appointing == request.Addr {
+		b.appointing = ""
+	}
+	if !recorded {
+		return &deputizeResponse{Soon: true}, nil
 	}
+	now := b.now()
 	b.deputy = deputy{addr: request.Addr, until: now + deputyTerm + deputyMargin}
 	b.ledger.SetDivisor(now, 2*members)
 	return &deputizeResponse{Divisor: b.ledger.Divisor()}, nil
 }
 
-// Run asks to be a deputy while this process is no member of the core, until ctx ends. It returns nil.
+// reserveDeputy reserves the place of the deputy for the agent that asks. It returns the answer if
+// another agent has the place.
+func (b *Broker) reserveDeputy(request *deputizeRequest) (refusal *deputizeResponse) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	earlier := b.deputy.addr == "" && request.Renewal // appointed by an earlier process on this machine
+	if b.now() < b.deputy.until && b.deputy.addr != request.Addr && !earlier {
+		return &deputizeResponse{Soon: b.deputy.addr == ""}
+	}
+	if b.appointing != "" && b.appointing != request.Addr {
+		return &deputizeResponse{Soon: true}
+	}
+	b.appointing = request.Addr
+	return nil
+}
+
+// recordDeputy has the newest record on disk name the agent that is being appointed, and reports
+// whether it does. A process without a disk has nothing to record.
+func (b *Broker) recordDeputy(addr string) bool {
+	b.mu.Lock()
+	recorded := b.options.SaveRecord == nil || b.recordedDeputy == addr
+	b.mu.Unlock()
+	if recorded {
+		return true
+	}
+	_, err := b.writeRecord()
+	return err == nil
+}
+
+// Run asks to be a deputy while this process is no member of the core, and records what a member has to
+// know after a restart, until ctx ends. It returns nil.
 func (b *Broker) Run(ctx context.Context) error {
+	if b.options.SaveRecord != nil {
+		var recorder sync.WaitGroup
+		recorder.Go(func() { b.runRecorder(ctx) })
+		defer recorder.Wait()
+	}
 	ticker := time.NewTicker(candidateTick)
 	defer ticker.Stop()
 	for {
@@ -149,7 +194,7 @@
 		b.appointed.until, b.appointed.divisor, b.appointed.by = begun+deputyTerm, response.Divisor, members[0]
 		b.appointed.nextAsk = begun + deputyRenewal
 	case response.Soon:
-		b.appointed.nextAsk = begun + restartHold/2 + rand.N(restartHold/2)
+		b.appointed.nextAsk = begun + soonInterval + rand.N(soonInterval)
 	default:
 		b.appointed.nextAsk = begun + candidateInterval + rand.N(candidateInterval)
 	}
--- a/internal/fleet/quota/golden_test.go
+++ b/internal/fleet/quota/golden_test.go
@@ -7,6 +7,7 @@
 )
 
 func TestGoldenCalls(t *testing.T) {
+	goldentest.RoundTrip[record](t, goldentest.Msgpack, "quota.record")
 	goldentest.RoundTrip[admitRequest](t, goldentest.Msgpack, "quota.admit-request")
 	goldentest.RoundTrip[admitResponse](t, goldentest.Msgpack, "quota.admit-answer")
 	goldentest.RoundTrip[drawRequest](t, goldentest.Msgpack, "quota.draw-request")
--- a/internal/fleet/quota/ledger.go
+++ b/internal/fleet/quota/ledger.go
@@ -45,14 +45,26 @@
 	fewSince time.Duration
 	few      int // shares now, if they are fewer than divisor; 0: they are not
 	accounts map[string]*account
+	restored map[string]float64 // floors of a former process that no share has begun with yet
+	// isRestoring: the first limits since Restore are not known yet.
+	isRestoring bool
+	// mayBeginAnew: restored shares begin with no less than new ones.
+	mayBeginAnew bool
+	// hasRecord: a record of this process is on disk.
+	hasRecord bool
 }
 
 // account is the share of one tenant's quota.
 type account struct {
 	limit     Limit
-	level     float64 // what may be admitted now
+	level     float64 // what it holds
 	updatedAt time.Duration
 	removedAt time.Duration // when the tenant was taken from the configuration; 0: it is there
+
+	lowWater   lowWater
+	floor      float64 // the highest that a record on disk may have: the level does not go below it
+	recorded   float64 // the floor of the newest record, written or being written
+	isRestored bool    // it began with the floor of a former process
 }
 
 // NewLedger returns a ledger without tenants.
@@ -88,7 +100,10 @@
 	first := l.divisor == 0
 	l.divisor = divisor
 	for _, a := range l.accounts {
-		if first {
+		switch {
+		case first && a.isRestored:
+			l.beginRestored(a)
+		case first:
 			a.level = l.startLevel(a.limit)
 		}
 		a.level = min(a.level, l.capacity(a.limit))
@@ -101,7 +116,7 @@
 	for name, limit := range limits {
 		a := l.accounts[name]
 		if a == nil {
-			l.accounts[name] = &account{limit: limit, level: l.startLevel(limit), updatedAt: now}
+			l.accounts[name] = l.newAccount(now, name, limit)
 			continue
 		}
 		l.accrue(now, a)
@@ -120,6 +135,9 @@
 			delete(l.accounts, name)
 		}
 	}
+	if len(limits) > 0 {
+		l.isRestoring = false // a tenant that is added later and that the record does not have is new
+	}
 }
 
 // capacity is the most that a share holds.
@@ -142,6 +160,7 @@
 
 // accrue adds what the rate has brought since the last time.
 func (l *Ledger) accrue(now time.Duration, a *account) {
+	a.lowWater.observe(now, a.level)
 	elapsed := max(now-a.updatedAt, 0)
 	a.updatedAt = max(a.updatedAt, now)
 	if l.divisor == 0 {
@@ -171,10 +190,10 @@
 // Take takes an amount from the tenant's share if all of it is there.
 func (l *Ledger) Take(now time.Duration, tenant string, amount float64) bool {
 	a := l.lookup(now, tenant)
-	if a == nil || a.level < amount {
+	if a == nil || a.available() < amount {
 		return false
 	}
-	a.level -= amount
+	l.spend(now, a, amount)
 	return true
 }
 
@@ -184,11 +203,17 @@
 	if a == nil {
 		return 0
 	}
-	drawn := max(min(a.level, amount), 0)
-	a.level -= drawn
+	drawn := max(min(a.available(), amount), 0)
+	l.spend(now, a, drawn)
 	return drawn
 }
 
+// spend takes an amount that is there.
+func (l *Ledger) spend(now time.Duration, a *account, amount float64) {
+	a.level -= amount
+	a.lowWater.observe(now, a.level)
+}
+
 // DrawBalanced is Draw for another member, whose own share is empty: beyond the amount that it needs it
 // is given half of what then remains here, up to extra. So the tenant's next requests need no draw, and
 // no share is full, and gains nothing, while another one is empty.
@@ -197,13 +222,13 @@
 	return drawn + l.Draw(now, tenant, min(extra, l.Level(now, tenant)/2))
 }
 
-// Level is what a tenant's share has.
+// Level is what may be taken from a tenant's share.
 func (l *Ledger) Level(now time.Duration, tenant string) float64 {
 	a := l.lookup(now, tenant)
 	if a == nil {
 		return 0
 	}
-	return a.level
+	return a.available()
 }
 
 // Room is what a tenant's share could hold beyond what it has.
@@ -246,7 +271,7 @@
 // Share is one tenant's share as operators see it.
 type Share struct {
 	Tenant   string  `json:"tenant"`
-	Level    float64 `json:"level"`    // what may be admitted now
+	Level    float64 `json:"level"`    // what it holds
 	Capacity float64 `json:"capacity"` // the most that it holds
 	RatePerS float64 `json:"rate-per-s"`
 }
--- a/internal/fleet/quota/ledger_test.go
+++ b/internal/fleet/quota/ledger_test.go
@@ -122,11 +122,7 @@
 		ledgers := newShares(members, limit)
 		const step = 100 * time.Millisecond
 		restartAt := time.Duration(rng.IntN(20_000)) * time.Millisecond
-		type admission struct {
-			at     time.Duration
-			amount float64
-		}
-		var admitted []admission
+		var admitted slidingSum
 		for now := time.Duration(0); now < 30*time.Second; now += step {
 			for i := range ledgers {
 				if now == restartAt/step*step {
@@ -134,20 +130,10 @@
 				}
 				amount := rng.ExpFloat64() * limit.RatePerS / 10
 				if drawTogether(ledgers, now, i, amount, rng) {
-					admitted = append(admitted, admission{now, amount})
+					admitted.add(now, amount)
 				}
 			}
-		}
-		sum, first := 0.0, 0
-		for _, a := range admitted {
-			sum += a.amount
-			for admitted[first].at <= a.at-testBounds.Window {
-				sum -= admitted[first].amount
-				first++
-			}
-			if sum > allowed(limit)*1.000001 {
-				t.Fatalf("%v in the window that ends at %v, allowed are %v", sum, a.at, allowed(limit))
-			}
+			admitted.requireAllowed(t, now, limit)
 		}
 	})
 }
@@ -161,6 +147,7 @@
 	const mean, warmup, end = 7000.0, 10 * time.Second, 300 * time.Second
 	var sent, sentAndRejected, admittedTokens float64
 	single, singleAt := limit.Burst, time.Duration(0)
+	recordedAt := time.Duration(0)
 	for now := warmup; now < end; now += time.Duration(rng.ExpFloat64() * mean / (load * limit.RatePerS) * float64(time.Second)) {
 		amount := 200 + (mean-200)*rng.ExpFloat64()
 		single = min(single+(now-singleAt).Seconds()*limit.RatePerS, limit.Burst)
@@ -170,6 +157,7 @@
 		}
 		single -= amount
 		sent++
+		recordAll(ledgers, now, &recordedAt)
 		if drawTogether(ledgers, now, pick(rng), amount, rng) {
 			admittedTokens += amount
 		} else {
@@ -179,6 +167,20 @@
 	return sentAndRejected / sent, admittedTokens / (limit.RatePerS * (end - warmup).Seconds())
 }
 
+// recordAll writes the records that are due, with a disk that needs no time.
+func recordAll(ledgers []*Ledger, now time.Duration, recordedAt *time.Duration) {
+	if now-*recordedAt < recordInterval {
+		return
+	}
+	*recordedAt = now
+	for _, ledger := range ledgers {
+		if ledger.RecordDue(now) {
+			ledger.BeginRecord(now)
+			ledger.EndRecord(true)
+		}
+	}
+}
+
 // drawTogether takes an amount of one member's share and, where that does not suffice, of the others'.
 func drawTogether(ledgers []*Ledger, now time.Duration, own int, amount float64, rng *rand.Rand) bool {
 	taken := ledgers[own].Draw(now, testTenant, amount)
