Send configurations as what changed, and allow pushes the time that their size takes

Cause: every change of a configuration went whole to each agent and along the chain: 240 KB compressed, 759 KB plain at 6,500 tenants.

- bindiff: a zstd frame with the base as its dictionary, checksums of base and result, bounded.
- relay: members of the core keep up to 16 former configurations in 2 MB; a hello says whether differences are accepted.
One that can't be applied ends the session, and the next begins with the whole document.
- controlplane: core.push-diff for a successor that holds the value before, core.value answers with what changed.
Earlier programs do not know the call and are pushed whole values.
- Time-outs grow with the size, at 1 MiB/s a link.

--- a/internal/fleet/controlplane/catchup.go
+++ b/internal/fleet/controlplane/catchup.go
@@ -39,9 +39,9 @@
 
 // fetchCommitted takes the newest committed value of a peer.
 func (m *Member) fetchCommitted(ctx context.Context, addr string) {
-	response, err := call[empty, valueResponse](ctx, m, addr, callValue, &empty{})
-	if err == nil && response.Value.Seq > 0 && response.Value.Validate() == nil {
-		m.advanceCommitted(response.Value)
+	value, err := m.requestValue(ctx, addr)
+	if err == nil && value.Seq > 0 && value.Validate() == nil {
+		m.advanceCommitted(value)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -62,11 +62,11 @@
 	if !outvoted {
 		return
 	}
-	response, err := call[empty, valueResponse](ctx, m, received.Peer.Addr, callValue, &empty{})
-	if err != nil || response.Value.Seq != received.CommittedSeq || response.Value.Checksum() != received.CommittedChecksum {
+	value, err := m.requestWholeValue(ctx, received.Peer.Addr)
+	if err != nil || value.Seq != received.CommittedSeq || value.Checksum() != received.CommittedChecksum {
 		return
 	}
-	m.replaceValue(ctx, response.Value, received.CommittedChecksum)
+	m.replaceValue(ctx, value, received.CommittedChecksum)
 }
 
 // replaceValue puts a value in the place of the one with the same sequence number, on disk and in
--- a/internal/fleet/controlplane/client.go
+++ b/internal/fleet/controlplane/client.go
@@ -20,17 +20,19 @@
 	return "the core gave no answer in time, send it again: " + e.Reason
 }
 
-// Submit has an update carried out by the head of the chain. It returns after RequestTimeout at the
-// latest. With OutcomeUnknown the update may be committed or not: submitted again, at any process, it
+// Submit has an update carried out by the head of the chain. It returns after RequestTimeout and the time of its
+// transfer at the latest. With OutcomeUnknown the update may be committed or not: submitted again, at any process, it
 // is the same update.
 func (m *Member) Submit(ctx context.Context, update *chain.Update) chain.Result {
 	if len(update.Body) > chain.MaxBody {
 		return chain.Result{Outcome: chain.OutcomeInvalid, Reason: "the configuration is too large"}
 	}
-	ctx, cancel := context.WithTimeout(ctx, m.options.RequestTimeout)
+	transfer := transferTime(len(update.Body))
+	ctx, cancel := context.WithTimeout(ctx, m.options.RequestTimeout+transfer)
 	defer cancel()
 	request := routedRequest[chain.Result]{
-		role: func(v view.View) view.Peer { return v.Head().Peer },
+		role:     func(v view.View) view.Peer { return v.Head().Peer },
+		transfer: transfer,
 		send: func(ctx context.Context, head view.Peer) attemptResult[chain.Result] {
 			return m.submitTo(ctx, head, update)
 		},
@@ -155,8 +157,9 @@
 
 // routedRequest is a request that one process of the newest view answers.
 type routedRequest[T any] struct {
-	role func(view.View) view.Peer // the process that answers
-	send func(context.Context, view.Peer) attemptResult[T]
+	role     func(view.View) view.Peer // the process that answers
+	transfer time.Duration             // that the request may take on its way, beside attemptTimeout
+	send     func(context.Context, view.Peer) attemptResult[T]
 }
 
 // attemptResult is the result of one attempt.
@@ -198,7 +201,7 @@
 // false if the attempt is given up because a newer view names another process.
 func attempt[T any](ctx context.Context, m *Member, request routedRequest[T], current view.View) (result attemptResult[T], ended bool) {
 	receiver := request.role(current)
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+request.transfer)
 	defer cancel()
 	results := make(chan attemptResult[T], 1)
 	m.spawn(func(context.Context) { results <- request.send(ctx, receiver) })
--- a/internal/fleet/controlplane/golden_test.go
+++ b/internal/fleet/controlplane/golden_test.go
@@ -27,11 +27,13 @@
 	goldentest.RoundTrip[viewRequest](t, goldentest.Msgpack, "core.view-request")
 	goldentest.RoundTrip[viewResponse](t, goldentest.Msgpack, "core.view-announce-answer")
 	goldentest.RoundTrip[pushRequest](t, goldentest.Msgpack, "core.push-request")
+	goldentest.RoundTrip[pushDiffRequest](t, goldentest.Msgpack, "core.push-diff-request")
 	goldentest.RoundTrip[pushResponse](t, goldentest.Msgpack, "core.push-answer")
 	goldentest.RoundTrip[chain.Update](t, goldentest.Msgpack, "core.order-request")
 	goldentest.RoundTrip[submitResponse](t, goldentest.Msgpack, "core.order-answer")
 	goldentest.RoundTrip[readResponse](t, goldentest.Msgpack, "core.read-answer")
 	goldentest.RoundTrip[confirmResponse](t, goldentest.Msgpack, "core.confirm-answer")
+	goldentest.RoundTrip[valueRequest](t, goldentest.Msgpack, "core.value-request")
 	goldentest.RoundTrip[valueResponse](t, goldentest.Msgpack, "core.value-answer")
 	goldentest.RoundTrip[announceRequest](t, goldentest.Msgpack, "core.announce-request")
 }
--- a/internal/fleet/controlplane/messages.go
+++ b/internal/fleet/controlplane/messages.go
@@ -16,6 +16,7 @@
 	callLearn     = "core.learn"
 	callView      = "core.view"
 	callPush      = "core.push"
+	callPushDiff  = "core.push-diff"
 	callSubmit    = "core.order"
 	callRead      = "core.read"
 	callConfirm   = "core.confirm"
@@ -94,6 +95,13 @@
 	Push chain.Push `msgpack:"Q"`
 }
 
+// pushDiffRequest is pushRequest for a value as what changed since one that the receiver has.
+type pushDiffRequest struct {
+	To   string    `msgpack:"To"`
+	View view.View `msgpack:"View"`
+	Diff valueDiff `msgpack:"Diff"`
+}
+
 // pushResponse acknowledges or rejects a push.
 type pushResponse struct {
 	// OK tells that the value is on disk at the receiver and at all members after it; after a direct
@@ -102,6 +110,8 @@
 	// Newer is the view that has superseded that of the push.
 	Newer        *view.View `msgpack:"Newer"`
 	RejectReason string     `msgpack:"Why"`
+	// NeedsValue tells that the whole value is to be sent: the receiver can't apply the difference.
+	NeedsValue bool `msgpack:"Whole,omitempty"`
 }
 
 // submitResponse answers an update.
@@ -129,9 +139,16 @@
 	Reason string     `msgpack:"w,omitempty"` // if not OK
 }
 
+// valueRequest asks for the newest committed value.
+type valueRequest struct {
+	KnownSeq uint64 `msgpack:"Have,omitempty"` // of the one that the sender has; 0: none
+}
+
 // valueResponse has the newest value that the receiver knows as committed; Seq 0: none.
 type valueResponse struct {
 	Value chain.Value `msgpack:"Value"`
+	// Diff is the value in place of Value, as what changed since the one that the request names.
+	Diff *valueDiff `msgpack:"Diff,omitempty"`
 }
 
 // RegisterHandlers adds the calls between members to the process's table.
@@ -142,6 +159,7 @@
 	rpc.HandleUnary(table, callLearn, m.handleLearn)
 	rpc.HandleUnary(table, callView, m.handleView)
 	rpc.HandleUnary(table, callPush, m.handlePush)
+	rpc.HandleUnary(table, callPushDiff, m.handlePushDiff)
 	rpc.HandleUnary(table, callSubmit, m.handleSubmit)
 	rpc.HandleUnary(table, callRead, m.handleRead)
 	rpc.HandleUnary(table, callConfirm, m.handleConfirm)
--- a/internal/fleet/controlplane/options.go
+++ b/internal/fleet/controlplane/options.go
@@ -48,7 +48,7 @@
 	// OnView is called with newer views, with rising Number; may be nil. Views in between may be
 	// skipped.
 	OnView func(view.View)
-	// RequestTimeout bounds Submit and Read; 0: 900 ms.
+	// RequestTimeout bounds Submit, beside the time that its update may take on its way, and Read; 0: 900 ms.
 	RequestTimeout time.Duration
 }
 
--- a/internal/fleet/controlplane/register.go
+++ b/internal/fleet/controlplane/register.go
@@ -1,8 +1,7 @@
 package controlplane
 
 import (
-	"context"
-
+	"chalkdoor.example/chalkdoor/internal/fleet/bindiff"
 	"chalkdoor.example/chalkdoor/internal/fleet/chain"
 )
 
@@ -13,6 +12,10 @@
 	// committed is the newest value known as committed, with its checksum; Seq 0: none is known.
 	committed chain.Value
 	checksum  uint64
+	// previous is the committed value before that, as far as it may be the base of a difference.
+	previous chain.Value
+	// successor is what the next member of the chain is known to have stored.
+	successor storedAt
 	// activatedView is the number of the view in which this member, as its head, has pushed its value
 	// through the whole chain.
 	activatedView uint64
@@ -25,6 +28,10 @@
 	if value.Seq <= r.committed.Seq {
 		return false
 	}
+	r.previous = chain.Value{}
+	if len(r.committed.Body) <= bindiff.MaxBytes {
+		r.previous = r.committed
+	}
 	r.committed, r.checksum = *value, checksum
 	return true
 }
@@ -46,12 +53,6 @@
 	return m.register.committed, m.register.committed.Seq > 0
 }
 
-// handleValue answers with the newest value that is known here as committed.
-func (m *Member) handleValue(context.Context, *empty) (*valueResponse, error) {
-	committed, _ := m.Committed()
-	return &valueResponse{Value: committed}, nil
-}
-
 // advanceCommitted takes a value that the tail of the chain has stored.
 func (m *Member) advanceCommitted(value chain.Value) {
 	checksum := value.Checksum()
--- a/internal/fleet/controlplane/repair.go
+++ b/internal/fleet/controlplane/repair.go
@@ -117,7 +117,7 @@
 // sendSnapshot pushes this member's value to another one directly. That member's heartbeats tell
 // whether it came.
 func (m *Member) sendSnapshot(ctx context.Context, to view.Member, replica chain.Replica) {
-	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout+transferTime(len(replica.Record.Value.Body)))
 	defer cancel()
 	push := chain.Push{View: replica.View, Value: replica.Record.Value, Direct: true}
 	_, _ = call[pushRequest, pushResponse](ctx, m, to.Addr, callPush, &pushRequest{To: to.ID, Push: push})
--- a/internal/fleet/controlplane/replication.go
+++ b/internal/fleet/controlplane/replication.go
@@ -76,11 +76,10 @@
 // pushTo pushes a value to the successor, which returns once the tail has stored it.
 func (m *Member) pushTo(ctx context.Context, successor view.Member, current view.View, value chain.Value) error {
 	position := current.Position(m.self.ID)
-	ctx, cancel := m.withinView(ctx, current.Number, pushTimeout-time.Duration(position)*pushTimeoutStep)
+	ctx, cancel := m.withinView(ctx, current.Number, pushTimeoutAt(position, len(current.Chain), len(value.Body)))
 	defer cancel()
 	begun := time.Now()
-	response, err := call[pushRequest, pushResponse](ctx, m, successor.Addr, callPush,
-		&pushRequest{To: successor.ID, Push: chain.Push{View: current, Value: value}})
+	response, err := m.sendPush(ctx, successor, chain.Push{View: current, Value: value})
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) { // else the view ended, not the successor
 			m.recordPush(successor.ID, begun, false)
@@ -95,9 +94,17 @@
 	if !response.OK {
 		return errors.New(response.RejectReason)
 	}
+	m.recordStored(successor.ID, value.Seq)
 	return nil
 }
 
+// pushTimeoutAt is how long the member at a position of a chain waits until a value has come through it: longer than
+// the member after it, also on links that take long for the value.
+func pushTimeoutAt(position, chainLength, size int) time.Duration {
+	transfers := time.Duration(chainLength - 1 - position)
+	return pushTimeout - time.Duration(position)*pushTimeoutStep + transfers*transferTime(size)
+}
+
 // recordPush notes whether a push reached the successor. Heartbeats may pass where pushes don't, so
 // one that can't be pushed to is no longer reported as reachable.
 func (m *Member) recordPush(id string, begun time.Time, reached bool) {
--- a/internal/fleet/controlplane/timing.go
+++ b/internal/fleet/controlplane/timing.go
@@ -36,12 +36,16 @@
 const (
 	// callTimeout bounds a small call.
 	callTimeout = 400 * time.Millisecond
-	// pushTimeout bounds the replication of a value along the whole chain. Each member waits
-	// pushTimeoutStep less than the one before it, so that the member next to a fault notices it first.
+	// pushTimeout bounds the replication of a value along the whole chain, beside the time that its transfer
+	// takes. Each member waits pushTimeoutStep less than the one before it, so that the member next to a
+	// fault notices it first.
 	pushTimeout     = time.Second
 	pushTimeoutStep = 60 * time.Millisecond
 	// phaseTimeout bounds each phase of a proposal.
 	phaseTimeout = 500 * time.Millisecond
+	// minLinkRate is what a link carries at least, in bytes per second: the time-outs of calls with a value
+	// or an update are longer by its transfer at this rate.
+	minLinkRate = 1 << 20
 	// leavingNoticeTimeout bounds the announcement that this member is shutting down.
 	leavingNoticeTimeout = 3 * heartbeatInterval / 2
 )
@@ -116,3 +120,8 @@
 	maxPeers          = 64
 	maxBootstrapPeers = 64 // with a disk, and as many without
 )
+
+// transferTime is how long a message of a size may be on its way over a slow link.
+func transferTime(size int) time.Duration {
+	return time.Duration(size) * time.Second / minLinkRate
+}
--- a/internal/fleet/relay/changes.go
+++ b/internal/fleet/relay/changes.go
@@ -50,6 +50,8 @@
 	now, source, key, data := n.now(), change.Source, change.Item.Key, change.Item.Data
 	if source == configSource {
 		if key == configKey {
+			n.configHistory.add(change.Item, n.options.Self.IsCore)
+			n.needsWholeConfig = false
 			n.applyConfigItemLocked(change.Item)
 		}
 		return
--- /dev/null
+++ b/internal/fleet/relay/confighistory_test.go
@@ -0,0 +1,254 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"chalkdoor.example/chalkdoor/internal/fleet/bindiff"
+	"chalkdoor.example/chalkdoor/internal/fleet/deltasync"
+)
+
+// diffConfigBytes is the size of the configurations of these tests.
+const diffConfigBytes = 96 << 10
+
+// revisedDocument returns the padded document of revision 1 with another revision.
+func revisedDocument(revision, size int) []byte {
+	return bytes.Replace(paddedDocument(1, size), []byte(`"revision":1`), fmt.Appendf(nil, `"revision":%d`, revision), 1)
+}
+
+func configItemOf(version uint64, raw []byte) deltasync.Item {
+	return deltasync.Item{Key: configKey, Version: version, Data: encode(&configItem{version, raw})}
+}
+
+// receiveConfig receives messages until one has a configuration, and returns that message.
+func receiveConfig(t *testing.T, st *stream) *message {
+	t.Helper()
+	codec := newDeltaCodec()
+	for {
+		m, err := st.Recv()
+		require.NoError(t, err)
+		require.NoError(t, codec.decompress(m))
+		if m.ConfigDiff != nil {
+			return m
+		}
+		for i := range m.Deltas {
+			if m.Deltas[i].Source == configSource {
+				return m
+			}
+		}
+	}
+}
+
+// A member of the core retains a bounded number of former configurations, another agent none.
+func TestFormerConfigsAreBounded(t *testing.T) {
+	var history configHistory
+	for version := uint64(1); version <= 3*maxFormerConfigs; version++ {
+		history.add(configItemOf(version, documentOf(1)), true)
+		require.LessOrEqual(t, len(history.configs), maxFormerConfigs+1)
+		require.NotNil(t, history.data(version))
+	}
+	assert.NotNil(t, history.data(2*maxFormerConfigs))
+	assert.Nil(t, history.data(2*maxFormerConfigs-1))
+	long := make([]byte, maxFormerConfigBytes/2+1)
+	for version := uint64(100); version < 104; version++ {
+		history.add(configItemOf(version, long), true)
+	}
+	assert.Len(t, history.configs, 2)
+	history.add(configItemOf(104, make([]byte, maxFormerConfigBytes+1)), true)
+	history.add(configItemOf(105, documentOf(1)), true)
+	assert.Len(t, history.configs, 1, "a former one is too large")
+	history.add(configItemOf(106, documentOf(1)), false)
+	assert.Len(t, history.configs, 1)
+	assert.NotNil(t, history.data(106))
+}
+
+// A peer that has a former configuration is sent what changed, if it accepts that: an earlier program does not.
+func TestConfigDiffIsAgreed(t *testing.T) {
+	t.Parallel()
+	cluster := newSyncedCluster(t, 2, 1)
+	relay := cluster.coreMembers[0]
+	first, second := revisedDocument(1, diffConfigBytes), revisedDocument(2, diffConfigBytes)
+	relay.node.ApplyConfig(1, first)
+	relay.node.ApplyConfig(2, second)
+	for name, known := range map[string]struct {
+		version uint64
+		accepts bool
+		isDiff  bool
+	}{
+		"a former one":                     {1, true, true},
+		"a former one, an earlier program": {1, false, false},
+		"none":                             {0, true, false},
+	} {
+		st := relay.openSession()
+		own := &hello{Source: "y/" + name, Addr: "y:1", AcceptsZstd: true, AcceptsConfigDiffs: known.accepts, Vector: deltasync.Vector{configSource: known.version}}
+		require.NoError(t, st.Send(&message{Hello: own}))
+		m := receiveConfig(t, st)
+		require.Equal(t, known.isDiff, m.ConfigDiff != nil, name)
+		if known.isDiff {
+			assert.Less(t, len(encode(m.ConfigDiff)), 1<<10, "what changed is short")
+			data, err := m.ConfigDiff.apply(encode(&configItem{1, first}))
+			require.NoError(t, err)
+			assert.Equal(t, encode(&configItem{2, second}), data)
+		}
+		st.Close()
+	}
+}
+
+// Agents follow a series of changes, byte by byte.
+func TestAgentsFollowConfigDiffs(t *testing.T) {
+	t.Parallel()
+	cluster := newSyncedCluster(t, 3, 3)
+	for seq := uint64(1); seq <= 20; seq++ {
+		document := revisedDocument(int(seq)+100, diffConfigBytes+int(seq))
+		for _, relay := range cluster.coreMembers {
+			relay.node.ApplyConfig(seq, document)
+		}
+		cluster.eventually("in force", hasConfig(seq))
+		for _, agent := range cluster.edgeAgents {
+			agent.node.mu.Lock()
+			data, whole := agent.node.configHistory.data(seq), agent.node.needsWholeConfig
+			agent.node.mu.Unlock()
+			assert.Equal(t, encode(&configItem{seq, document}), data)
+			assert.False(t, whole)
+		}
+	}
+}
+
+// An agent whose former configuration is another one is sent the whole next one.
+func TestAgentWithAnotherBaseGetsTheWholeConfig(t *testing.T) {
+	t.Parallel()
+	cluster := newSyncedCluster(t, 2, 1)
+	relay, agent := cluster.coreMembers[0], cluster.edgeAgents[0]
+	relay.node.ApplyConfig(1, revisedDocument(1, diffConfigBytes))
+	cluster.eventually("in force", hasConfig(1))
+	agent.node.mu.Lock()
+	agent.node.configHistory.configs[0].Data = []byte("damaged")
+	agent.node.mu.Unlock()
+	relay.node.ApplyConfig(2, revisedDocument(2, diffConfigBytes))
+	cluster.eventually("in force", hasConfig(2))
+	relay.node.ApplyConfig(3, revisedDocument(3, diffConfigBytes))
+	cluster.eventually("in force", hasConfig(3))
+}
+
+// A difference that can't be applied ends the session, and the next one begins with the whole configuration.
+func TestUnusableConfigDiff(t *testing.T) {
+	agent := newManualNode("agent", false)
+	peer := agent.connect("addr of relay", "relay/1", true)
+	agent.ApplyConfig(1, revisedDocument(1, diffConfigBytes))
+	base, next := configItemOf(1, revisedDocument(1, diffConfigBytes)), configItemOf(2, revisedDocument(2, diffConfigBytes))
+	sound := computeConfigDiff(1, base.Data, next)
+	require.NotNil(t, sound)
+	damaged := *sound
+	damaged.Content.ResultSum++
+	for want, diff := range map[error]*configDiff{
+		errUnknownConfigBase: {From: 7, To: 9},
+		bindiff.ErrOtherBase: {From: 1, To: 2},
+		bindiff.ErrDamaged:   &damaged,
+	} {
+		agent.needsWholeConfig = false
+		require.ErrorIs(t, agent.receiveMessage(peer, &message{ConfigDiff: diff}), want)
+		assert.Equal(t, uint64(1), agent.ConfigSeq())
+		assert.False(t, agent.newHelloLocked(false).AcceptsConfigDiffs)
+	}
+	agent.ApplyConfig(2, revisedDocument(2, diffConfigBytes))
+	assert.True(t, agent.newHelloLocked(false).AcceptsConfigDiffs, "a whole one has come")
+}
+
+// A difference to a configuration that is in force already shows that the peer has it, so that it is not sent
+// back.
+func TestKnownConfigDiffIsNotSentBack(t *testing.T) {
+	relay := newManualNode("relay", true, Peer{Addr: "addr of relay"}, Peer{Addr: "addr of other"})
+	peer := relay.connect("addr of other", "other/1", true)
+	relay.ApplyConfig(1, revisedDocument(1, diffConfigBytes))
+	relay.ApplyConfig(2, revisedDocument(2, diffConfigBytes))
+	require.NoError(t, relay.receiveMessage(peer, &message{ConfigDiff: &configDiff{From: 1, To: 2}, IsCore: true}))
+	assert.Equal(t, uint64(2), peer.sent[configSource])
+}
+
+// The difference to the newest configuration is computed once for all sessions.
+func TestConfigDiffIsComputedOnce(t *testing.T) {
+	var history configHistory
+	history.add(configItemOf(1, revisedDocument(1, diffConfigBytes)), true)
+	history.add(configItemOf(2, revisedDocument(2, diffConfigBytes)), true)
+	first := history.diff(1)
+	require.NotNil(t, first)
+	assert.Same(t, first, history.diff(1))
+	assert.Nil(t, history.diff(7), "it is not known")
+	history.add(configItemOf(3, revisedDocument(3, diffConfigBytes)), true)
+	assert.Equal(t, uint64(3), history.diff(1).To)
+	assert.Equal(t, uint64(3), history.diff(2).To)
+}
+
+// tenantDocument returns a configuration of so many tenants, each with a random key.
+func tenantDocument(revision, tenants int) []byte {
+	random := rand.New(rand.NewPCG(1, 2))
+	var document bytes.Buffer
+	fmt.Fprintf(&document, `{"revision":%d,"routes":[],"services":[],"tenants":[`, revision)
+	for i := range tenants {
+		if i > 0 {
+			document.WriteByte(',')
+		}
+		key := fmt.Sprintf("%016x%016x%016x%016x", random.Uint64(), random.Uint64(), random.Uint64(), random.Uint64())
+		rate := 10 + random.IntN(90)
+		if i == tenants/2 {
+			rate += revision // what changes
+		}
+		fmt.Fprintf(&document, `{"id":"tenant-%d","keys":["%s"],"requests-per-s":%d}`, i, key, rate)
+	}
+	document.WriteString("]}")
+	return document.Bytes()
+}
+
+// BenchmarkConfigChange reports what a change of one tenant costs an agent: the bytes that its session receives,
+// and the time until it is in force there, with and without differences.
+func BenchmarkConfigChange(b *testing.B) {
+	for _, tenants := range []int{170, 650, 6500} {
+		for name, accepts := range map[string]bool{"whole": false, "difference": true} {
+			b.Run(fmt.Sprintf("%s, %d tenants", name, tenants), func(b *testing.B) { benchmarkConfigChange(b, tenants, accepts) })
+		}
+	}
+}
+
+func benchmarkConfigChange(b *testing.B, tenants int, accepts bool) {
+	relay, agent := newManualNode("relay", true, Peer{Addr: "addr of relay"}), newManualNode("agent", false)
+	relay.tick() // it notices that it is a member of the core
+	toAgent, fromRelay := relay.connect("addr of agent", agent.source(), false), agent.connect("addr of relay", relay.source(), true)
+	toAgent.acceptsZstd, toAgent.acceptsConfigDiffs = true, accepts
+	out := &sender{node: relay.Node, session: toAgent}
+	seq, total := uint64(0), 0
+	change := func() {
+		seq++
+		relay.ApplyConfig(seq, tenantDocument(int(seq), tenants))
+		update, encodedConfig, _ := out.nextUpdate()
+		if len(encodedConfig) > 0 {
+			total += len(encodedConfig)
+			agent.receiveEncoded(b, fromRelay, encodedConfig)
+		}
+		relay.codec.compress(update)
+		encoded := encode(update)
+		total += len(encoded)
+		agent.receiveEncoded(b, fromRelay, encoded)
+		require.Equal(b, seq, agent.ConfigSeq())
+	}
+	change()
+	total = 0
+	b.ReportAllocs()
+	for b.Loop() {
+		change()
+	}
+	b.ReportMetric(float64(len(tenantDocument(1, tenants))), "document-bytes")
+	b.ReportMetric(float64(total)/float64(seq-1), "bytes/change")
+}
+
+// receiveEncoded has a node receive an encoded message of a session.
+func (n *manualNode) receiveEncoded(tb testing.TB, from *session, encoded []byte) {
+	received := new(message)
+	require.NoError(tb, msgpack.Unmarshal(encoded, received))
+	require.NoError(tb, n.receiveMessage(from, received))
+}
--- a/internal/fleet/relay/dial.go
+++ b/internal/fleet/relay/dial.go
@@ -93,7 +93,7 @@
 	defer hangUp()
 	isMember := n.options.Core.IsMember()
 	n.mu.Lock()
-	own := &hello{Source: n.items.OwnSource(), Addr: n.options.Self.Addr, IsCore: isMember, Vector: n.items.Vector(), AcceptsZstd: true}
+	own := n.newHelloLocked(isMember)
 	n.mu.Unlock()
 	if st.Send(&message{Hello: own, IsCore: isMember, HasQuorum: n.options.Core.HasQuorum()}) != nil {
 		return
--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -27,6 +27,8 @@
 	Vector deltasync.Vector `msgpack:"v"` // what the sender has
 	// AcceptsZstd: the sender understands CompressedDeltas. Programs without them leave it out.
 	AcceptsZstd bool `msgpack:"z,omitempty"`
+	// AcceptsConfigDiffs: the sender understands ConfigDiff. It leaves it out after one that it could not apply.
+	AcceptsConfigDiffs bool `msgpack:"d,omitempty"`
 }
 
 // validate returns an error for a hello that no sound peer sends; a nil one is invalid, too.
@@ -40,18 +42,32 @@
 	return nil
 }
 
+// newHelloLocked returns this node's hello.
+func (n *Node) newHelloLocked(isCore bool) *hello {
+	return &hello{
+		Source:             n.items.OwnSource(),
+		Addr:               n.options.Self.Addr,
+		IsCore:             isCore,
+		Vector:             n.items.Vector(),
+		AcceptsZstd:        true,
+		AcceptsConfigDiffs: !n.needsWholeConfig,
+	}
+}
+
 // message is what both sides of a session send.
 type message struct {
 	Hello    *hello            `msgpack:"h,omitempty"`
 	Redirect []Peer            `msgpack:"r,omitempty"` // the answering side is no relay: these are
 	Deltas   []deltasync.Delta `msgpack:"d,omitempty"`
 	// CompressedDeltas is the deltas in place of Deltas, encoded and compressed by zstd: see deltaCodec.
-	CompressedDeltas []byte   `msgpack:"z,omitempty"`
-	ReceivedVersion  uint64   `msgpack:"g,omitempty"` // version of the receiver's own source that the sender has
-	IsCore           bool     `msgpack:"o,omitempty"` // the sender is a member of the core
-	HasQuorum        bool     `msgpack:"l,omitempty"` // the sender is one and has a quorum
-	Complete         bool     `msgpack:"f,omitempty"` // the sender is complete: see readiness
-	Notices          []notice `msgpack:"n,omitempty"`
+	CompressedDeltas []byte `msgpack:"z,omitempty"`
+	// ConfigDiff is the configuration, where it is not among the deltas: see configHistory.
+	ConfigDiff      *configDiff `msgpack:"x,omitempty"`
+	ReceivedVersion uint64      `msgpack:"g,omitempty"` // version of the receiver's own source that the sender has
+	IsCore          bool        `msgpack:"o,omitempty"` // the sender is a member of the core
+	HasQuorum       bool        `msgpack:"l,omitempty"` // the sender is one and has a quorum
+	Complete        bool        `msgpack:"f,omitempty"` // the sender is complete: see readiness
+	Notices         []notice    `msgpack:"n,omitempty"`
 	// Acknowledged is, between members of the core, the versions that the sender has.
 	Acknowledged deltasync.Vector `msgpack:"v,omitempty"`
 	// QuorumVersion is the version of the receiver's own source that a majority of the core has.
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -110,11 +110,14 @@
 	sessions      sessionSet
 	upstream      upstreamSelector
 	configCache   configCache
-	codec         deltaCodec    // not guarded
-	noticeLimiter *rate.Limiter // in bytes that notices cost each receiver
-	tableFullLog  rate.Sometimes
-	published     Snapshot
-	changed       chan struct{} // closed and replaced at each change
+	configHistory configHistory
+	// needsWholeConfig tells that a difference could not be applied, and no configuration has come since.
+	needsWholeConfig bool
+	codec            deltaCodec    // not guarded
+	noticeLimiter    *rate.Limiter // in bytes that notices cost each receiver
+	tableFullLog     rate.Sometimes
+	published        Snapshot
+	changed          chan struct{} // closed and replaced at each change
 }
 
 // New returns a node that has a new incarnation and the servers that an earlier one saved.
--- a/internal/fleet/relay/receive.go
+++ b/internal/fleet/relay/receive.go
@@ -29,6 +29,9 @@
 	if err := n.codec.decompress(m); err != nil {
 		return err
 	}
+	if err := n.restoreConfig(m); err != nil {
+		return err
+	}
 	n.handleMessage(s, m)
 	return nil
 }
--- a/internal/fleet/relay/send.go
+++ b/internal/fleet/relay/send.go
@@ -68,7 +68,7 @@
 func (n *Node) sendHello(st *stream) error {
 	m := &message{IsCore: n.options.Core.IsMember(), HasQuorum: n.options.Core.HasQuorum()}
 	n.mu.Lock()
-	m.Hello = &hello{Source: n.items.OwnSource(), Addr: n.options.Self.Addr, IsCore: true, Vector: n.items.Vector(), AcceptsZstd: true}
+	m.Hello = n.newHelloLocked(true)
 	n.mu.Unlock()
 	return st.Send(m)
 }
@@ -84,7 +84,8 @@
 	}
 	next := statusOf(update)
 	firstAnswer := update.FreshnessAnswer > 0 && !out.answered
-	if !out.heartbeatDue && len(update.Deltas) == 0 && len(update.Acknowledged) == 0 && next == out.lastStatus && !firstAnswer {
+	hasContent := len(update.Deltas) > 0 || update.ConfigDiff != nil || len(update.Acknowledged) > 0
+	if !out.heartbeatDue && !hasContent && next == out.lastStatus && !firstAnswer {
 		return changed, nil
 	}
 	if out.session.acceptsZstd {
@@ -110,6 +111,9 @@
 	for _, delta := range update.Deltas {
 		s.sent[delta.Source] = delta.To
 	}
+	if s.acceptsConfigDiffs {
+		update.ConfigDiff, update.Deltas = n.configHistory.extract(update.Deltas)
+	}
 	form := configForm{isCore: update.IsCore, hasQuorum: update.HasQuorum, complete: out.lastStatus.complete, compressed: s.acceptsZstd}
 	encodedConfig, update.Deltas = n.configCache.extract(n.now(), &n.codec, form, update.Deltas)
 	update.ReceivedVersion = n.items.LastVersion(s.source)
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -32,12 +32,13 @@
 	cancel   context.CancelFunc
 
 	// What the peer last reported of itself.
-	peerIsCore        bool
-	acceptsZstd       bool // it understands compressed deltas
-	peerHasQuorum     bool
-	peerComplete      bool          // see readiness
-	completenessKnown bool          // it has reported whether it is complete
-	lastQuorum        time.Duration // when it last reported that it has a quorum, or the session began
+	peerIsCore         bool
+	acceptsZstd        bool // it understands compressed deltas
+	acceptsConfigDiffs bool // it understands differences between configurations
+	peerHasQuorum      bool
+	peerComplete       bool          // see readiness
+	completenessKnown  bool          // it has reported whether it is complete
+	lastQuorum         time.Duration // when it last reported that it has a quorum, or the session began
 
 	// What shows that the peer is alive.
 	lastMessage   time.Duration // when the last complete message came
@@ -62,20 +63,21 @@
 // newSession returns a session with the peer that sent a hello. The caller stops its noticeTimer.
 func newSession(now time.Duration, peer *hello, peerAddr string, bytesReceived func() uint64, cancel context.CancelFunc) *session {
 	s := &session{
-		peerAddr:      peerAddr,
-		source:        peer.Source,
-		started:       now,
-		cancel:        cancel,
-		peerIsCore:    peer.IsCore,
-		acceptsZstd:   peer.AcceptsZstd,
-		lastQuorum:    now,
-		lastMessage:   now,
-		bytesReceived: bytesReceived,
-		sent:          maps.Clone(peer.Vector),
-		acknowledged:  deltasync.Vector{},
-		pendingAcks:   map[string]bool{},
-		wake:          make(chan struct{}, 1),
-		noticeTimer:   time.NewTimer(timerUnset),
+		peerAddr:           peerAddr,
+		source:             peer.Source,
+		started:            now,
+		cancel:             cancel,
+		peerIsCore:         peer.IsCore,
+		acceptsZstd:        peer.AcceptsZstd,
+		acceptsConfigDiffs: peer.AcceptsConfigDiffs,
+		lastQuorum:         now,
+		lastMessage:        now,
+		bytesReceived:      bytesReceived,
+		sent:               maps.Clone(peer.Vector),
+		acknowledged:       deltasync.Vector{},
+		pendingAcks:        map[string]bool{},
+		wake:               make(chan struct{}, 1),
+		noticeTimer:        time.NewTimer(timerUnset),
 	}
 	if s.sent == nil {
 		s.sent = deltasync.Vector{}
--- a/internal/testbed/controlsim/scenario.go
+++ b/internal/testbed/controlsim/scenario.go
@@ -225,6 +225,8 @@
 		s.updateInterval, s.bodySize = 2*time.Second, 1<<20
 	} else if random.IntN(2) == 0 {
 		s.bandwidth = 640 << 10
+	} else {
+		s.bodySize = 16 << 10 // long enough for differences, with hundreds of updates
 	}
 	for at := 2 * time.Second; at < s.faultDuration-8*time.Second; at += randomDuration(random, 4*time.Second, 8*time.Second) {
 		f := Fault{Kind: pickOne(random, Kill, PowerLoss, Wipe, Replace, SlowDisk, FullDisk),
