End a lease only after a majority of the core says that nobody holds it

Cause: a member of the core ended a lease by its own table once it had been in contact with a majority for 2.5 s. What a peer publishes may be on its way, and a process that was frozen a moment ago works by an old table.

Change: it asks the other members over their sessions, and ends the lease once a majority, itself included, has answered that it has no session with the holder. One that has one keeps the lease.

--- a/internal/fleet/relay/leases.go
+++ b/internal/fleet/relay/leases.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/lease"
@@ -87,26 +88,34 @@
 // expireLeasesLocked ends the sources that no core member has granted a lease to for its duration.
 //
 // A core member ends them for everybody, once it has had its quorum for as long as a lease lasts:
-// before, it may not know of leases that others grant. Another agent drops for itself what the core
-// must have ended while the agent was unreachable. It never accepts a dropped source again, so it
-// allows the core as long again to end the source or to renew its lease, and drops nothing while its
-// own relay is silent: the renewal may be in flight.
-func (n *Node) expireLeasesLocked(now time.Duration, isMember bool) {
+// before, it may not know of leases that others grant. It asks a majority of the core first, see
+// leasePoll. Another agent drops for itself what the core must have ended while the agent was
+// unreachable. It never accepts a dropped source again, so it allows the core as long again to end the
+// source or to renew its lease, and drops nothing while its own relay is silent: the renewal may be in
+// flight.
+func (n *Node) expireLeasesLocked(now time.Duration, isMember bool, members []Peer) {
 	expired := n.leases.Expired(now)
-	announces := isMember && n.readiness.quorumFor(now, leaseDuration)
-	if !announces && (isMember || !n.leases.attachedFor(now, sourceExpiry)) {
+	connected := n.connectedSourcesLocked()
+	expired = slices.DeleteFunc(expired, func(source string) bool { return connected[source] })
+	if isMember {
+		if n.readiness.quorumFor(now, leaseDuration) {
+			n.pollLeasesLocked(now, expired, members)
+		}
+		return
+	}
+	if !n.leases.attachedFor(now, sourceExpiry) {
 		return
 	}
-	connected := n.sessions.sources()
-	connected[n.items.OwnSource()] = true
 	for _, source := range expired {
-		if connected[source] || !announces && n.leases.UngrantedFor(now, source) <= sourceExpiry {
-			continue
+		if n.leases.UngrantedFor(now, source) > sourceExpiry {
+			n.expireSourceLocked(source)
 		}
-		logevent.LeaseExpired.Log("source", source)
-		if announces {
-			n.publishEndLocked(source)
-		}
-		n.endSourceLocked(source)
 	}
 }
+
+// expireSourceLocked ends a source whose lease has expired. A member of the core announces that.
+func (n *Node) expireSourceLocked(source string) {
+	logevent.LeaseExpired.Log("source", source)
+	n.publishEndLocked(source)
+	n.endSourceLocked(source)
+}
--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -78,7 +78,15 @@
 	FreshnessQuestion uint64 `msgpack:"q,omitempty"`
 	FreshnessAnswer   uint64 `msgpack:"t,omitempty"`
 	FreshnessSeq      uint64 `msgpack:"u,omitempty"`
+	// LeaseQuestion and LeaseAnswer are between members of the core: see leasePoll.
+	LeaseQuestion *leaseQuestion `msgpack:"w,omitempty"`
+	LeaseAnswer   *leaseAnswer   `msgpack:"y,omitempty"`
 }
 
 // stream carries the messages of a session.
 type stream = rpc.Stream[message, message]
+
+// hasContent reports whether a message has something that must not wait for the next heartbeat.
+func (m *message) hasContent() bool {
+	return len(m.Deltas) > 0 || m.ConfigDiff != nil || len(m.Acknowledged) > 0 || m.LeaseQuestion != nil || m.LeaseAnswer != nil
+}
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -101,6 +101,7 @@
 	config        configState
 	members       map[string]Member // by source
 	leases        leaseManager
+	leasePoll     leasePoll
 	attachment    attachment
 	memberAddrs   memberAddrs
 	ends          endAnnouncements
@@ -205,7 +206,7 @@
 	n.selfStartLocked(now, members)
 	n.updateGrantedLeasesLocked(isMember)
 	n.leases.ObserveRoots(now, n.leaseRootsLocked())
-	n.expireLeasesLocked(now, isMember)
+	n.expireLeasesLocked(now, isMember, members)
 	n.withdrawOldEndsLocked(now)
 	if n.items.NeedsCompaction() {
 		n.startIncarnationLocked()
--- a/internal/fleet/relay/receive.go
+++ b/internal/fleet/relay/receive.go
@@ -55,6 +55,7 @@
 	n.receiveNoticesLocked(s, m.Notices)
 	n.recordOwnVersionsLocked(s, m)
 	n.receiveFreshnessLocked(s, m)
+	n.receiveLeasePollLocked(s, m, isMember, members)
 	peerCompletes := s.peerIsCore && m.HasQuorum && m.Complete
 	if peerCompletes && (!isMember || hasQuorum) {
 		n.markCompleteLocked(s)
--- a/internal/fleet/relay/send.go
+++ b/internal/fleet/relay/send.go
@@ -84,8 +84,7 @@
 	}
 	next := statusOf(update)
 	firstAnswer := update.FreshnessAnswer > 0 && !out.answered
-	hasContent := len(update.Deltas) > 0 || update.ConfigDiff != nil || len(update.Acknowledged) > 0
-	if !out.heartbeatDue && !hasContent && next == out.lastStatus && !firstAnswer {
+	if !out.heartbeatDue && !update.hasContent() && next == out.lastStatus && !firstAnswer {
 		return changed, nil
 	}
 	if out.session.acceptsZstd {
@@ -123,6 +122,7 @@
 		update.QuorumVersion = n.quorumVersionLocked(s.source, members)
 	}
 	n.addFreshnessLocked(s, update)
+	n.addLeasePollLocked(s, update)
 	return update, encodedConfig, n.changed
 }
 
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -56,6 +56,9 @@
 
 	freshness sessionFreshness
 
+	leasePollSent uint64       // ID of the last question on leases that was sent
+	leaseAnswer   *leaseAnswer // to the peer's question, not sent yet; nil: there is none
+
 	pendingNotices []notice
 	noticeTimer    *time.Timer // fires when the pending notices are to be sent
 }
