Send the rest of a body after an early answer and use the connection on

Cause: a server may answer before it has read a long body and read on later. The gateway closed such a connection, so the server lost the rest of the body and the next request needed a new connection.

Change: the rest is sent for up to 2 s after the answer, its memory stays reserved, and the connection returns to the pool once the server's host has all of it; until then it carries nothing else. At most 64 are waited for, none once the gateway ends.

--- a/internal/fleet/gateway/attempt.go
+++ b/internal/fleet/gateway/attempt.go
@@ -80,12 +80,16 @@
 
 // release returns the connection to the pool, but only if the attempt was not cancelled, the response
 // was read completely and the request was delivered completely: the next bytes in either direction
-// have to be those of the next request. Otherwise it closes the connection.
+// have to be those of the next request. A server that has not read a long body yet is given some time
+// for that. Otherwise it closes the connection.
 func (t *attempt) release(notCancelled bool) {
-	if notCancelled && t.reusable && t.conn.delivered() {
-		t.gateway.pool.put(t.conn)
-	} else {
-		t.gateway.pool.close(t.conn)
+	switch pool := t.gateway.pool; {
+	case !notCancelled || !t.reusable:
+		pool.close(t.conn)
+	case t.conn.delivered():
+		pool.put(t.conn)
+	default:
+		t.gateway.finishUpload(t.conn, int64(len(t.request.body)))
 	}
 }
 
--- a/internal/fleet/gateway/doc.go
+++ b/internal/fleet/gateway/doc.go
@@ -14,7 +14,7 @@
 //	retry.go        attempts until one answers, bounded by the route and by the retry budget
 //	attempt.go      one send to one server, classified in outcome.go
 //	relay.go        a response that is no stream; stream.go and events.go: one that is
-//	pool.go         idle connections to servers; conn.go and upload.go: one connection
+//	pool.go         idle connections to servers; conn.go, upload.go and lateupload.go: one connection
 //
 // In front of net/http, framing_conn.go rejects requests whose framing is ambiguous (RFC 9112,
 // section 11.2), so that no request is smuggled behind another.
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -28,11 +28,12 @@
 
 // Gateway serves the requests of clients. All its methods are safe for concurrent use.
 type Gateway struct {
-	startedAt  time.Time
-	keyMaxAge  time.Duration // for how long API keys may be unconfirmed; 0: for ever
-	pool       *pool
-	bodyMemory *semaphore.Weighted // bytes of request bodies
-	server     *http.Server
+	startedAt   time.Time
+	keyMaxAge   time.Duration // for how long API keys may be unconfirmed; 0: for ever
+	pool        *pool
+	bodyMemory  *semaphore.Weighted // bytes of request bodies
+	lateUploads lateUploads
+	server      *http.Server
 
 	clientConns *clientConns
 
--- a/internal/fleet/gateway/lifecycle.go
+++ b/internal/fleet/gateway/lifecycle.go
@@ -45,6 +45,7 @@
 		select {
 		case <-ctx.Done():
 			g.pool.closeAll()
+			g.lateUploads.closeAll()
 			return nil
 		case <-g.healthCheckWake:
 		case <-timer.C:
