--- a/internal/fleet/quota/broker_test.go
+++ b/internal/fleet/quota/broker_test.go
@@ -280,6 +280,14 @@
 	require.Equal(t, 2, NewBroker(member.options).ledgerDivisor(t), "after a restart it counts on an earlier deputy")
 }
 
+// The margin of a term allows for a deputy's clock that is slow and a member's that is fast by 2 in 100.
+func TestTermsAllowForDriftingClocks(t *testing.T) {
+	const fast, slow = 1.02, 0.98
+	heldFor := float64(deputyTerm) / slow
+	countedFor := float64(deputyTerm+deputyMargin) / fast
+	require.Less(t, heldFor, countedFor)
+}
+
 // A member that has just started, without a record, prolongs the term of its deputy at once, and appoints
 // no other before that one's term is certainly over.
 func TestMemberThatRestartsKeepsItsDeputy(t *testing.T) {
--- a/internal/fleet/quota/ledger_test.go
+++ b/internal/fleet/quota/ledger_test.go
@@ -138,6 +138,33 @@
 	})
 }
 
+// The members' clocks run up to 2 in 100 fast or slow, and all restart once: no window of the true time admits more
+// than the bounds allow.
+func TestNoWindowExceedsBoundsByDriftingClocks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{RatePerS: rapid.Float64Range(1, 500_000).Draw(t, "rate"), Burst: rapid.Float64Range(0, 500_000).Draw(t, "burst")}
+		rates := rapid.SliceOfN(rapid.Float64Range(0.98, 1.02), 1, 7).Draw(t, "clock rates")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		ledgers := newShares(len(rates), limit)
+		const step = 100 * time.Millisecond
+		restartAt := time.Duration(rng.IntN(200)) * step
+		var admitted slidingSum
+		for now := time.Duration(0); now < 30*time.Second; now += step {
+			clock := func(member int) time.Duration { return time.Duration(float64(now) * rates[member]) }
+			for i := range ledgers {
+				if now == restartAt {
+					ledgers[i] = newShare(clock(i), len(rates), limit)
+				}
+				amount := rng.ExpFloat64() * limit.RatePerS / 5
+				if drawByClocks(ledgers, clock, i, amount, rng) {
+					admitted.add(now, amount)
+				}
+			}
+			admitted.requireAllowed(t, now, limit)
+		}
+	})
+}
+
 // simulate sends requests of a tenant, at a multiple of its rate on average, to members chosen by pick.
 // If shaped, it sends only those that one bucket of the whole limit would admit. It returns the share
 // of requests that were rejected, and what was admitted as a part of the rate.
@@ -183,22 +210,27 @@
 
 // drawTogether takes an amount of one member's share and, where that does not suffice, of the others'.
 func drawTogether(ledgers []*Ledger, now time.Duration, own int, amount float64, rng *rand.Rand) bool {
-	taken := ledgers[own].Draw(now, testTenant, amount)
-	room := ledgers[own].Room(now, testTenant)
+	return drawByClocks(ledgers, func(int) time.Duration { return now }, own, amount, rng)
+}
+
+// drawByClocks is drawTogether where each member goes by a clock of its own.
+func drawByClocks(ledgers []*Ledger, clock func(member int) time.Duration, own int, amount float64, rng *rand.Rand) bool {
+	taken := ledgers[own].Draw(clock(own), testTenant, amount)
+	room := ledgers[own].Room(clock(own), testTenant)
 	others := rng.Perm(len(ledgers))
 	slices.SortStableFunc(others, func(i, j int) int {
-		return cmp.Compare(ledgers[j].Level(now, testTenant), ledgers[i].Level(now, testTenant))
+		return cmp.Compare(ledgers[j].Level(clock(j), testTenant), ledgers[i].Level(clock(i), testTenant))
 	})
 	for _, other := range others {
 		if other != own && taken < amount {
-			taken += ledgers[other].DrawBalanced(now, testTenant, amount-taken, room)
+			taken += ledgers[other].DrawBalanced(clock(other), testTenant, amount-taken, room)
 		}
 	}
 	if taken < amount {
-		ledgers[own].Return(now, testTenant, taken)
+		ledgers[own].Return(clock(own), testTenant, taken)
 		return false
 	}
-	ledgers[own].Return(now, testTenant, taken-amount)
+	ledgers[own].Return(clock(own), testTenant, taken-amount)
 	return true
 }
 
--- a/internal/fleet/relay/compression.go
+++ b/internal/fleet/relay/compression.go
@@ -27,6 +27,7 @@
 // deltaCodec compresses and decompresses the deltas of all sessions of a node. It does one message each way at a
 // time, which bounds its memory, and has no goroutines of its own. It is safe for concurrent use.
 type deltaCodec struct {
+	compressing sync.Mutex // held from the encoding on, as an encoded message is long
 	encoder func() *zstd.Encoder
 	decoder func() *zstd.Decoder
 }
@@ -59,6 +60,8 @@
 	if dataSize(m.Deltas) < minCompressedBytes {
 		return
 	}
+	c.compressing.Lock()
+	defer c.compressing.Unlock()
 	m.CompressedDeltas = c.encoder().EncodeAll(encode(m.Deltas), nil)
 	m.Deltas = nil
 }
--- a/internal/fleet/relay/compression_test.go
+++ b/internal/fleet/relay/compression_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
+	"runtime/metrics"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -145,6 +148,44 @@
 	assert.NoError(t, relay.receiveMessage(peer, &message{}))
 }
 
+// BenchmarkReturnOfManyAgents reports the most heap that the first messages of 300 sessions take while all are made
+// at once.
+func BenchmarkReturnOfManyAgents(b *testing.B) {
+	const sessions = 300
+	deltas := itemsOfFleet(360, 850)
+	for b.Loop() {
+		codec := newDeltaCodec()
+		runtime.GC()
+		before := heapInUse()
+		peak := before
+		messages := make([]*message, sessions)
+		var running sync.WaitGroup
+		for i := range messages {
+			messages[i] = &message{Deltas: deltas}
+			running.Go(func() { codec.compress(messages[i]) })
+		}
+		done := make(chan struct{})
+		go func() { running.Wait(); close(done) }()
+		for sampling := true; sampling; {
+			select {
+			case <-done:
+				sampling = false
+			default:
+			}
+			peak = max(peak, heapInUse())
+		}
+		b.ReportMetric(float64(peak-before)/(1<<20), "peak-MB")
+		runtime.KeepAlive(messages)
+	}
+}
+
+// heapInUse returns the bytes of the heap that are in use or not swept yet.
+func heapInUse() uint64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(sample)
+	return sample[0].Value.Uint64()
+}
+
 // BenchmarkCompressedDeltas reports what the first deltas of a fleet and a configuration take.
 func BenchmarkCompressedDeltas(b *testing.B) {
 	codec := newDeltaCodec()
