Soak: interrupted writes at the end of processes, and levels of what processes hold

Some ends of core machines by SIGKILL leave the start of a record at the end of the state file, as a loss of power in the middle of a write does; at the closing, too. Memory, descriptors and threads of all processes are read each second, printed by thirds of the series and, from three minutes on, compared: a rise between the second and the last third is a violation. The package's check for goroutines that are left is the shared one now (leaktest.Status), as buntdb ends its own up to a second after it was closed.

--- a/internal/fleet/relay/compression.go
+++ b/internal/fleet/relay/compression.go
@@ -28,8 +28,8 @@
 // time, which bounds its memory, and has no goroutines of its own. It is safe for concurrent use.
 type deltaCodec struct {
 	compressing sync.Mutex // held from the encoding on, as an encoded message is long
-	encoder func() *zstd.Encoder
-	decoder func() *zstd.Decoder
+	encoder     func() *zstd.Encoder
+	decoder     func() *zstd.Decoder
 }
 
 // newDeltaCodec returns a codec that allocates its parts at their first use.
--- a/internal/fleet/store/bench_test.go
+++ b/internal/fleet/store/bench_test.go
@@ -21,7 +21,7 @@
 				if err := s.Put("value", value); err != nil {
 					b.Fatal(err)
 				}
-				if info, err := os.Stat(s.path(fileName)); err == nil {
+				if info, err := os.Stat(s.path(FileName)); err == nil {
 					largest = max(largest, info.Size())
 				}
 			}
--- a/internal/fleet/store/compact.go
+++ b/internal/fleet/store/compact.go
@@ -74,7 +74,7 @@
 	if err := s.file.Sync(); err != nil {
 		return err
 	}
-	return os.Rename(path, s.path(fileName))
+	return os.Rename(path, s.path(FileName))
 }
 
 // scrub compares the file with the records, and compacts it if it differs.
@@ -82,7 +82,7 @@
 	if s.dir == "" {
 		return true, nil
 	}
-	report, records, err := scan(s.path(fileName))
+	report, records, err := scan(s.path(FileName))
 	if err != nil {
 		return false, err
 	}
--- a/internal/fleet/store/compact_test.go
+++ b/internal/fleet/store/compact_test.go
@@ -31,7 +31,7 @@
 	for i := range 60 {
 		value[0] = byte(i)
 		require.NoError(t, s.Put("value", value))
-		info, err := os.Stat(filepath.Join(dir, fileName))
+		info, err := os.Stat(filepath.Join(dir, FileName))
 		require.NoError(t, err)
 		largest = max(largest, info.Size())
 	}
@@ -51,7 +51,7 @@
 	intact, err := s.Scrub()
 	require.NoError(t, err)
 	require.True(t, intact)
-	file, err := os.OpenFile(filepath.Join(dir, fileName), os.O_RDWR, 0)
+	file, err := os.OpenFile(filepath.Join(dir, FileName), os.O_RDWR, 0)
 	require.NoError(t, err)
 	_, err = file.WriteAt([]byte{0xff}, 30)
 	require.NoError(t, err)
@@ -88,7 +88,7 @@
 	require.NoError(t, os.RemoveAll(filepath.Join(dir, compactFileName)))
 	require.NoError(t, s.Put("value", []byte("last")))
 	eventually(t, "the file is small again", func() bool {
-		info, err := os.Stat(filepath.Join(dir, fileName))
+		info, err := os.Stat(filepath.Join(dir, FileName))
 		return err == nil && info.Size() < compactionSlack && s.Health(time.Now()).Err == nil
 	})
 	s.Close()
--- a/internal/fleet/store/file.go
+++ b/internal/fleet/store/file.go
@@ -11,7 +11,7 @@
 // and needsReload is set, so the next Put starts with another load.
 func (s *Store) load() (Report, error) {
 	s.needsReload = true
-	report, records, err := scan(s.path(fileName))
+	report, records, err := scan(s.path(FileName))
 	if err != nil {
 		return report, err
 	}
@@ -37,7 +37,7 @@
 		return errors.Wrap(err, "create the directory of state-dir")
 	}
 	_ = os.Remove(s.path(compactFileName)) // left by a compaction; the next one would replace it
-	path := s.path(fileName)
+	path := s.path(FileName)
 	s.size = report.Bytes
 	switch {
 	case report.Damaged:
--- a/internal/fleet/store/file_test.go
+++ b/internal/fleet/store/file_test.go
@@ -67,7 +67,7 @@
 	s, _ := open(t, dir)
 	require.NoError(t, s.Put("id", []byte("x1")))
 	require.NoError(t, s.Put("value", []byte("v1")))
-	info, err := os.Stat(filepath.Join(dir, fileName))
+	info, err := os.Stat(filepath.Join(dir, FileName))
 	require.NoError(t, err)
 	withFileSizeLimit(t, uint64(info.Size()+space), func() {
 		require.Error(t, s.Put("value", bytes.Repeat([]byte("v"), 50)))
--- a/internal/fleet/store/powerloss_test.go
+++ b/internal/fleet/store/powerloss_test.go
@@ -43,17 +43,17 @@
 	require.NoError(t, s.Put("id", []byte("x1")))
 	require.NoError(t, s.Put("value", []byte("v1")))
 	require.NoError(t, s.Put("value", []byte("v2")))
-	before := readFolder(t, dir)[fileName]
+	before := readFolder(t, dir)[FileName]
 	require.NoError(t, s.query(s.compact))
-	after := readFolder(t, dir)[fileName]
+	after := readFolder(t, dir)[FileName]
 	require.NotEqual(t, before, after)
 	for name, left := range map[string]folder{
-		"both lost":                       {fileName: before},
-		"the rename lost":                 {fileName: before, compactFileName: after},
-		"the rename lost, the file torn":  {fileName: before, compactFileName: after[:len(after)/2]},
-		"the rename lost, the file empty": {fileName: before, compactFileName: nil},
-		"both kept":                       {fileName: after},
-		"both names kept":                 {fileName: after, compactFileName: after},
+		"both lost":                       {FileName: before},
+		"the rename lost":                 {FileName: before, compactFileName: after},
+		"the rename lost, the file torn":  {FileName: before, compactFileName: after[:len(after)/2]},
+		"the rename lost, the file empty": {FileName: before, compactFileName: nil},
+		"both kept":                       {FileName: after},
+		"both names kept":                 {FileName: after, compactFileName: after},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, report, dir := openFolder(t, left)
@@ -76,10 +76,10 @@
 	damaged := bytes.Clone(raw)
 	damaged[30] ^= 0xff
 	for name, left := range map[string]folder{
-		"both lost":         {fileName: damaged},
+		"both lost":         {FileName: damaged},
 		"the new file lost": {damagedFileName: damaged},
-		"both kept":         {damagedFileName: damaged, fileName: nil},
-		"both names kept":   {damagedFileName: damaged, fileName: damaged},
+		"both kept":         {damagedFileName: damaged, FileName: nil},
+		"both names kept":   {damagedFileName: damaged, FileName: damaged},
 		"all lost":          {},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/fleet/store/scan.go
+++ b/internal/fleet/store/scan.go
@@ -29,7 +29,7 @@
 
 // Verify reads the state file of a directory that no process uses, and changes nothing.
 func Verify(dir string) (Report, error) {
-	report, _, err := scan(filepath.Join(dir, fileName))
+	report, _, err := scan(filepath.Join(dir, FileName))
 	if _, statErr := os.Stat(filepath.Join(dir, damagedFileName)); statErr == nil {
 		report.SetAside = true
 	}
@@ -38,7 +38,7 @@
 
 // Read returns the newest record of a name in a directory that no process uses.
 func Read(dir, key string) (value []byte, found bool, err error) {
-	_, records, err := scan(filepath.Join(dir, fileName))
+	_, records, err := scan(filepath.Join(dir, FileName))
 	for _, r := range records {
 		if r.key == key {
 			value, found = r.value, true
--- a/internal/fleet/store/scan_test.go
+++ b/internal/fleet/store/scan_test.go
@@ -64,7 +64,7 @@
 	})
 	t.Run("too large", func(t *testing.T) {
 		dir := dirWith(t, nil)
-		require.NoError(t, os.Truncate(filepath.Join(dir, fileName), MaxFile+1))
+		require.NoError(t, os.Truncate(filepath.Join(dir, FileName), MaxFile+1))
 		s, report := open(t, dir)
 		require.True(t, report.Damaged)
 		require.NoError(t, s.Put("id", nil))
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	fileName        = "state.db"
+	// FileName is the name of the state file in its folder.
+	FileName        = "state.db"
 	compactFileName = "state.new"
 	damagedFileName = "state.damaged"
 
@@ -84,7 +85,7 @@
 	if dir != "" {
 		var err error
 		if report, err = s.load(); err != nil {
-			if _, _, readErr := scan(s.path(fileName)); readErr != nil {
+			if _, _, readErr := scan(s.path(FileName)); readErr != nil {
 				return nil, report, err
 			}
 			s.lastErr, s.failingSince = err, time.Now()
--- a/internal/fleet/store/store_test.go
+++ b/internal/fleet/store/store_test.go
@@ -46,11 +46,11 @@
 	s, _ := open(t, dir)
 	require.NoError(t, s.Put("id", []byte("x1")))
 	require.NoError(t, s.Put("value", []byte("first")))
-	info, err := os.Stat(filepath.Join(dir, fileName))
+	info, err := os.Stat(filepath.Join(dir, FileName))
 	require.NoError(t, err)
 	require.NoError(t, s.Put("value", []byte("second\r\n*3\r\n$3\r\nset\r\n")))
 	s.Close()
-	raw, err = os.ReadFile(filepath.Join(dir, fileName))
+	raw, err = os.ReadFile(filepath.Join(dir, FileName))
 	require.NoError(t, err)
 	return raw, int(info.Size())
 }
@@ -59,7 +59,7 @@
 func dirWith(t *testing.T, raw []byte) string {
 	t.Helper()
 	dir := t.TempDir()
-	require.NoError(t, os.WriteFile(filepath.Join(dir, fileName), raw, 0o600))
+	require.NoError(t, os.WriteFile(filepath.Join(dir, FileName), raw, 0o600))
 	return dir
 }
 
--- a/internal/leaktest/leak.go
+++ b/internal/leaktest/leak.go
@@ -18,7 +18,12 @@
 // Main runs a package's tests and ends the process: with an error if they failed, or if
 // goroutines are left that do not end by themselves.
 func Main(m *testing.M) {
-	code := m.Run()
+	os.Exit(Status(m.Run()))
+}
+
+// Status returns the status of a package's tests as it is, or 1 if they passed and goroutines are left
+// that do not end by themselves.
+func Status(code int) int {
 	for end := time.Now().Add(patience); code == 0; {
 		err := goleak.Find()
 		if err == nil {
@@ -29,5 +34,5 @@
 			code = 1
 		}
 	}
-	os.Exit(code)
+	return code
 }
--- a/internal/testbed/fleetlab/agents.go
+++ b/internal/testbed/fleetlab/agents.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/settings"
+	"chalkdoor.example/chalkdoor/internal/fleet/store"
 	"chalkdoor.example/chalkdoor/internal/testbed/process"
 )
 
@@ -162,6 +163,28 @@
 	return nil
 }
 
+// TearWrite leaves the start of a record at the end of the state file of a machine whose process has ended, as a write
+// does that a loss of power interrupts.
+func (a *Agent) TearWrite(bytes int) error {
+	path := filepath.Join(a.dir, "state", store.FileName)
+	content, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) || bytes == 0 || len(content) < bytes {
+		return nil // nothing was written yet, or the disk was wiped
+	}
+	if err != nil {
+		return errors.Wrap(err, a.Name)
+	}
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return errors.Wrap(err, a.Name)
+	}
+	_, err = file.Write(content[:bytes])
+	if err = errors.Join(err, file.Close()); err != nil {
+		return errors.Wrap(err, a.Name)
+	}
+	return nil
+}
+
 // Pause suspends the process until Resume.
 func (a *Agent) Pause() error {
 	a.mu.Lock()
--- a/internal/testbed/fleetlab/main_test.go
+++ b/internal/testbed/fleetlab/main_test.go
@@ -7,7 +7,7 @@
 	"path/filepath"
 	"testing"
 
-	"go.uber.org/goleak"
+	"chalkdoor.example/chalkdoor/internal/leaktest"
 )
 
 // daemonProgram is the path of the daemon that the tests run.
@@ -30,11 +30,5 @@
 	}
 	status := m.Run()
 	os.RemoveAll(dir)
-	if status == 0 {
-		if err := goleak.Find(); err != nil {
-			fmt.Fprintln(os.Stderr, "goleak:", err)
-			status = 1
-		}
-	}
-	os.Exit(status)
+	os.Exit(leaktest.Status(status))
 }
--- a/internal/testbed/fleetlab/soak.go
+++ b/internal/testbed/fleetlab/soak.go
@@ -29,8 +29,9 @@
 	options *SoakOptions
 	startAt time.Duration // of the series, on the fleet's clock
 
-	agentFaults sync.WaitGroup  // injections into agents; they end with the series
-	others      sync.WaitGroup  // injections into servers and of the operator
+	agentFaults sync.WaitGroup // injections into agents; they end with the series
+	others      sync.WaitGroup // injections into servers and of the operator
+	levels      levels
 	startedAt   []time.Duration // of each agent's last process, once the closing is over
 
 	mu         sync.Mutex // guards all that follows
@@ -80,7 +81,12 @@
 		defer close(done)
 		clients.Run(ctx, asks, outcomes.add)
 	}()
+	watching, endWatch := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() { s.levels.watch(watching, s.fleet, s.startAt, s.plan.ClosingAt) })
 	s.injectSeries(ctx)
+	endWatch()
+	watch.Wait()
 	if err := s.close(ctx); err != nil {
 		return nil, err
 	}
@@ -149,6 +155,9 @@
 		return s.restartLater(ctx, agent, injection.Length)
 	case SoakKill:
 		agent.Kill()
+		if err := agent.TearWrite(injection.Torn); err != nil {
+			return err
+		}
 		return s.restartLater(ctx, agent, injection.Length)
 	case SoakWipe:
 		agent.Kill()
@@ -243,6 +252,11 @@
 			return err
 		}
 	}
+	for i, torn := range s.plan.Torn {
+		if err := s.fleet.Agents[i].TearWrite(torn); err != nil {
+			return err
+		}
+	}
 	began := s.fleet.Now()
 	s.startedAt = make([]time.Duration, len(s.fleet.Agents))
 	order := make([]int, len(s.fleet.Agents))
--- a/internal/testbed/fleetlab/soak_plan.go
+++ b/internal/testbed/fleetlab/soak_plan.go
@@ -17,7 +17,7 @@
 // The faults of agents come first, then what servers and operators do.
 const (
 	SoakTerminate     SoakFault = "terminate"      // SIGTERM, and a start some time after the end
-	SoakKill          SoakFault = "kill"           // SIGKILL, and a start some time later
+	SoakKill          SoakFault = "kill"           // SIGKILL, perhaps in the middle of a write, and a start some time later
 	SoakPause         SoakFault = "pause"          // SIGSTOP, and SIGCONT some time later
 	SoakWipe          SoakFault = "wipe"           // SIGKILL, and a start with an empty disk
 	SoakReload        SoakFault = "reload"         // SIGHUP
@@ -60,6 +60,8 @@
 	// firstReturn and lastReturn are when the machines start again after the closing.
 	firstReturn = 300 * time.Millisecond
 	lastReturn  = 2 * time.Second
+	// maxTornBytes is the longest part of a record that an interrupted write leaves: less than any complete one.
+	maxTornBytes = 40
 	// coreFirstLead is how much earlier than all others the core goes down.
 	coreFirstLead = 400 * time.Millisecond
 )
@@ -73,6 +75,7 @@
 	Server int           // index of the model server; -1: none
 	Length time.Duration // how long the agent is down or paused
 	Seeds  []int         // indices of the new seeds
+	Torn   int           // bytes of a write that the end of the process interrupts; 0: it interrupts none
 }
 
 // String describes the injection for the timeline.
@@ -81,6 +84,9 @@
 	if i.Agent >= 0 {
 		text += fmt.Sprintf(" agent %d for %v", i.Agent+1, i.Length)
 	}
+	if i.Torn > 0 {
+		text += fmt.Sprintf(" with %d torn bytes", i.Torn)
+	}
 	if i.Server >= 0 {
 		text += fmt.Sprintf(" server %d", i.Server+1)
 	}
@@ -98,6 +104,7 @@
 	Wiped      int             // index of the agent whose disk the closing loses; -1: none
 	Survivor   int             // index of the agent that the closing spares; -1: none
 	Returns    []time.Duration // when each agent starts again, after the closing
+	Torn       []int           // as in Injection, of each machine of the core at the closing
 }
 
 // SoakOptions are the size of a soak and what is left out of its series.
@@ -161,9 +168,26 @@
 	plan.Injections = slices.DeleteFunc(plan.Injections, func(i Injection) bool {
 		return i.At >= plan.ClosingAt || slices.Contains(options.Without, i.Number)
 	})
+	plan.drawTorn(cfg)
 	return plan, nil
 }
 
+// drawTorn draws which ends of processes interrupt a write. Its random numbers are its own, so that the rest of a
+// seed's plan does not depend on them.
+func (p *SoakPlan) drawTorn(cfg *Config) {
+	random := rand.New(rand.NewPCG(cfg.Seed, 12))
+	draw := func() int { return max(random.IntN(2*maxTornBytes+1)-maxTornBytes, 0) }
+	for i := range p.Injections {
+		injection := &p.Injections[i]
+		if injection.Fault == SoakKill && injection.Agent < cfg.Core {
+			injection.Torn = draw()
+		}
+	}
+	for range cfg.Core {
+		p.Torn = append(p.Torn, draw())
+	}
+}
+
 func (p *soakPlanner) between(from, to time.Duration) time.Duration {
 	return (from + time.Duration(p.random.Int64N(int64(to-from)))).Round(time.Millisecond)
 }
@@ -269,6 +293,6 @@
 	if p.Survivor >= 0 {
 		fmt.Fprintf(&text, " agent %d", p.Survivor+1)
 	}
-	fmt.Fprintf(&text, ", returns after %v\n", p.Returns)
+	fmt.Fprintf(&text, ", returns after %v, torn bytes %v\n", p.Returns, p.Torn)
 	return text.String()
 }
--- a/internal/testbed/fleetlab/soak_report.go
+++ b/internal/testbed/fleetlab/soak_report.go
@@ -35,6 +35,7 @@
 	AfterRecovery int               `json:"asked_after_recovery"`
 	ServedAfter   int               `json:"served_after_recovery"`
 	Recovery      []RecoveryMoments `json:"recovery"` // the first agent that reached each step, and the last
+	Levels        [3]Level          `json:"levels"`   // in each third of the series
 }
 
 // RecoveryMoments are when the first and the last agent reached a step of the recovery, since the last
@@ -59,6 +60,7 @@
 	s.fleet.ReadBack(ctx)
 	s.checkRecovery(result, outcomes)
 	s.checkLogs()
+	s.checkLevels(result)
 	result.Report = s.fleet.report(outcomes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -105,6 +107,14 @@
 	}
 }
 
+// checkLevels checks that no process holds more and more.
+func (s *soak) checkLevels(result *SoakReport) {
+	result.Levels = s.levels.thirds
+	if growth := s.levels.growth(); growth != "" && s.plan.ClosingAt >= minLevelSeries {
+		s.violate("LEVEL", "%s between the second and the last third of the series", growth)
+	}
+}
+
 // checkLogs checks that every line that an agent logged has an event number.
 func (s *soak) checkLogs() {
 	for _, agent := range s.fleet.Agents {
@@ -184,5 +194,8 @@
 			text += fmt.Sprintf(" (%d never)", step.Never)
 		}
 	}
+	for _, level := range r.Levels {
+		text += fmt.Sprintf("; %.1f MB, %d descriptors, %d threads", float64(level.Memory)/(1<<20), level.Descriptors, level.Threads)
+	}
 	return text + fmt.Sprintf("; %d violations", len(r.Violations))
 }
