Answer reads of the configuration from the agent that is asked, once the core confirms its number

Cause: each read had the tail of the chain send the whole configuration, 813 KB at 6,500 tenants, to an agent that has it already; over a link on which that takes more than half a second no read was answered.

Without the core there is no answer.

--- a/internal/fleet/assembly/control.go
+++ b/internal/fleet/assembly/control.go
@@ -98,8 +98,7 @@
 	}
 }
 
-// Config reads the newest configuration from the core.
+// Config returns the newest configuration that the core has acknowledged.
 func (c *ControlBackend) Config(ctx context.Context) ([]byte, bool, error) {
-	newest, err := c.Member.Read(ctx)
-	return newest.Body, newest.Seq > 0, err
+	return readConfig(ctx, c.Member, c.Relay)
 }
--- a/internal/fleet/relay/config.go
+++ b/internal/fleet/relay/config.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/config"
@@ -52,6 +54,33 @@
 	return n.config.seq
 }
 
+// CommittedConfig returns the configuration of a sequence number as it was submitted, once it is here. It reports
+// false if ctx ends before, and if there is a newer one.
+func (n *Node) CommittedConfig(ctx context.Context, seq uint64) (raw []byte, found bool) {
+	for {
+		n.mu.Lock()
+		version, data, changed := n.items.Version(configSource), n.items.Item(configSource, configKey), n.changed
+		n.mu.Unlock()
+		if version >= seq {
+			return submittedConfig(data, seq)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+// submittedConfig returns the document of an item if it has a sequence number.
+func submittedConfig(data []byte, seq uint64) (raw []byte, found bool) {
+	var committed configItem
+	if err := msgpack.Unmarshal(data, &committed); err != nil || committed.Seq != seq {
+		return nil, false
+	}
+	return committed.Raw, true
+}
+
 // MarkConfigCurrent records that every configuration that the core had committed at the time of
 // some read since the start has been applied.
 func (n *Node) MarkConfigCurrent() {
--- a/internal/fleet/relay/confighistory_test.go
+++ b/internal/fleet/relay/confighistory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -205,6 +206,32 @@
 	return document.Bytes()
 }
 
+// A configuration is read back byte by byte, once it is here and while there is no newer one.
+func TestCommittedConfig(t *testing.T) {
+	relay := newManualNode("relay", true, Peer{Addr: "addr of relay"})
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, found := relay.CommittedConfig(ended, 1)
+	assert.False(t, found, "it is not here yet")
+	type answer struct {
+		raw   []byte
+		found bool
+	}
+	answers := make(chan answer)
+	go func() {
+		raw, found := relay.CommittedConfig(timeoutContext(t, testTimeout), 1)
+		answers <- answer{raw, found}
+	}()
+	relay.ApplyConfig(1, documentOf(5))
+	assert.Equal(t, answer{documentOf(5), true}, <-answers)
+	relay.ApplyConfig(2, []byte("no document"))
+	_, found = relay.CommittedConfig(t.Context(), 1)
+	assert.False(t, found, "there is a newer one")
+	raw, found := relay.CommittedConfig(t.Context(), 2)
+	assert.True(t, found, "also one that is not in force")
+	assert.Equal(t, "no document", string(raw))
+}
+
 // BenchmarkConfigChange reports what a change of one tenant costs an agent: the bytes that its session receives,
 // and the time until it is in force there, with and without differences.
 func BenchmarkConfigChange(b *testing.B) {
