Replace settings files as a whole in the laboratory, and bound the wait for a server

A wiped machine of the core started while the exchange of seeds wrote its settings file in place; the process found an empty file and ended, and nobody started it again. The closing wiped another disk, two of three, so the core could not return, and the soak waited for a server to register without a bound.

Change: the file is written beside and renamed; a server's end and return take a minute at the most, else the soak reports it.

--- a/internal/testbed/fleetlab/settings_file.go
+++ b/internal/testbed/fleetlab/settings_file.go
@@ -54,8 +54,17 @@
 	fmt.Fprintf(&b, "converge-ms = %d\nrevert-slack-ms = %d\nstretch-ms = %d\nretry-ratio = %v\nretry-window-s = %v\nretry-slack = %v\nrecovery-s = %v\npass_ms = %d\nagain_s = 0\n",
 		ms(bounds.Converge), ms(bounds.RevertSlack), ms(bounds.Stretch), bounds.RetryRatio, bounds.RetryWindow.Seconds(), bounds.RetrySlack, bounds.Recovery.Seconds(), ms(forwardTarget))
 	path := filepath.Join(a.dir, "local.toml")
-	if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
+	if err := replaceFile(path, []byte(b.String())); err != nil {
 		return "", errors.Wrap(err, a.Name)
 	}
 	return path, nil
 }
+
+// replaceFile replaces a file as a whole: a process that starts meanwhile reads the former content or the new one.
+func replaceFile(path string, content []byte) error {
+	next := path + ".new"
+	if err := os.WriteFile(next, content, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(next, path)
+}
--- a/internal/testbed/fleetlab/soak.go
+++ b/internal/testbed/fleetlab/soak.go
@@ -15,6 +15,8 @@
 const (
 	// soakConfigTimeout bounds one change of the configuration with all its retries.
 	soakConfigTimeout = 15 * time.Second
+	// soakServerTimeout bounds the end and the return of one server. It is longer than a fleet may take to recover.
+	soakServerTimeout = time.Minute
 	// soakTail is the length of the traffic after the recovery that is checked.
 	soakTail = 3 * time.Second
 	// soakReadInterval is the pause between two reads of the configuration from one agent after the
@@ -180,16 +182,24 @@
 		s.changeConfig(ctx, 1)
 	case SoakRaceConfig:
 		s.changeConfig(ctx, 2)
-	case SoakDrainServer:
+	case SoakDrainServer, SoakCrashServer:
+		return s.replaceServer(ctx, injection)
+	}
+	return nil
+}
+
+// replaceServer ends a server and starts it again.
+func (s *soak) replaceServer(ctx context.Context, injection *Injection) error {
+	ctx, cancel := context.WithTimeout(ctx, soakServerTimeout)
+	defer cancel()
+	if injection.Fault == SoakDrainServer {
 		if err := s.fleet.Server(injection.Server).Leave(ctx); err != nil {
 			return err
 		}
-		return s.fleet.RestartServer(ctx, injection.Server)
-	case SoakCrashServer:
+	} else {
 		s.fleet.Server(injection.Server).Crash()
-		return s.fleet.RestartServer(ctx, injection.Server)
 	}
-	return nil
+	return s.fleet.RestartServer(ctx, injection.Server)
 }
 
 // ignoreEnded drops the error of a signal to a process that has ended.
