Excuse a dropped request by its agent's kill though nothing of it was written

What was seen: TestRulesAreKeptUnderFaults failed once, "its connection was ended with no answer", agent n1, 0.773 s after the start of the log, which is about 0.51 s after that of the load.

Where the kill fell between the moment at which that request's connection came up and the first byte on it, the client noted "dropped" but never "asked", as nothing was written. The referee looked for kills of the agent of the "asked" event, found an empty name there and so no excuse; of 47 requests one loss is more than the one in 200 allowed.

Change: a client notes when it got the connection that ended, and what it saw; the referee takes agent and time from there if the request was never asked. Such a drop still counts where the agent was not killed, was killed later, or was back when the connection came up.

--- a/internal/testbed/loadgen/client.go
+++ b/internal/testbed/loadgen/client.go
@@ -219,8 +219,12 @@
 		c.log.Add(seen)
 	}
 	var asked atomic.Bool
+	var connected atomic.Int64 // when it got its last connection, on the log's clock
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(g httptrace.GotConnInfo) { reused.Store(g.Reused) },
+		GotConn: func(g httptrace.GotConnInfo) {
+			reused.Store(g.Reused)
+			connected.Store(int64(c.log.Now()))
+		},
 		WroteRequest: func(w httptrace.WroteRequestInfo) {
 			if w.Err == nil && !asked.Swap(true) { // it may be written again
 				note(referee.Asked)
@@ -249,6 +253,7 @@
 		case ctx.Err() != nil: // waited for longer than its time: the referee tells by what is missing
 			return Failed, 0
 		}
+		seen.Connected, seen.Detail = time.Duration(connected.Load()), err.Error()
 		note(referee.Dropped)
 		return Failed, 0
 	}
--- /dev/null
+++ b/internal/testbed/loadgen/client_test.go
@@ -0,0 +1,79 @@
+package loadgen
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"chalkdoor.example/chalkdoor/internal/testbed/referee"
+)
+
+// killedAgent accepts connections and ends each at once, as the kernel does with those of a process that is
+// killed: some end before their client has written anything.
+func killedAgent(t *testing.T) (addr string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var accepting sync.WaitGroup
+	accepting.Go(func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conn.Close()
+		}
+	})
+	t.Cleanup(func() {
+		ln.Close()
+		accepting.Wait()
+	})
+	return ln.Addr().String()
+}
+
+// A request of which the killed agent got nothing is owed nothing, as is one that it got. Where nobody killed
+// the agent each of them is a loss.
+func TestDropsOfAKilledAgent(t *testing.T) {
+	const requests = 300
+	cfg := config()
+	cfg.Retry.Once = false
+	log := referee.NewLog()
+	client := NewClient(cfg, "n1", killedAgent(t), 0, log, NewTries())
+	defer client.Close()
+	killedAt := log.Now()
+	for i := range requests {
+		client.Run(context.Background(), []*Ask{{Number: i}}, func(o Outcome) {
+			if o.Verdict != Failed {
+				t.Errorf("request %d: %v", i, o.Verdict)
+			}
+		})
+	}
+	events := log.Events()
+	unwritten := 0
+	asked := map[string]bool{}
+	for _, e := range events {
+		switch e.Kind {
+		case referee.Asked:
+			asked[e.Request] = true
+		case referee.Dropped:
+			if !asked[e.Request] {
+				unwritten++
+			}
+			if e.Connected < killedAt || e.Connected > e.At || e.Detail == "" {
+				t.Errorf("connected at %v: %v", e.Connected, e)
+			}
+		}
+	}
+	t.Logf("%d of %d connections ended with nothing written", unwritten, requests)
+	rules, end := referee.Rules{Slack: time.Second}, log.Now()
+	if broken := referee.Check(events, rules, end); len(broken) != requests {
+		t.Errorf("%d violations where nobody killed the agent, want %d", len(broken), requests)
+	}
+	killed := append(events, referee.Event{At: killedAt, Kind: referee.Killed, Agent: "n1", Deadline: end})
+	if broken := referee.Check(killed, rules, end); len(broken) > 0 {
+		t.Errorf("%d violations though the agent was killed, the first: %v", len(broken), broken[0])
+	}
+}
--- a/internal/testbed/referee/referee.go
+++ b/internal/testbed/referee/referee.go
@@ -26,8 +26,9 @@
 	// Answered is a whole final answer at the client: Status, and whether what was Served is
 	// what a report server made for this request.
 	Answered
-	// Dropped is a connection that the agent ended under a request, with no whole answer.
-	// Of those that it sent nothing on for, one request in droppedMost is no loss.
+	// Dropped is a connection that the agent ended under a request, with no whole answer. It may have
+	// ended before anything was written: then the request was never Asked. Of those that the agent
+	// sent nothing on for, one request in droppedMost is no loss.
 	Dropped
 	// Left is a client that went away: it is owed nothing more.
 	Left
@@ -74,6 +75,10 @@
 	Status   int
 	Whole    bool   // the answer is what a report server made for the request
 	State    string // "up", "draining" or "removed"
+	// Connected is when the client of a dropped request got the connection that ended, Detail what that
+	// client saw.
+	Connected time.Duration
+	Detail    string
 }
 
 func (e Event) String() string {
@@ -87,6 +92,12 @@
 	if e.Status != 0 {
 		fmt.Fprintf(&b, " status=%d whole=%v", e.Status, e.Whole)
 	}
+	if e.Connected > 0 {
+		fmt.Fprintf(&b, " connected=%.3f s", e.Connected.Seconds())
+	}
+	if e.Detail != "" {
+		fmt.Fprintf(&b, " (%s)", e.Detail)
+	}
 	return b.String()
 }
 
@@ -170,6 +181,18 @@
 	out      int
 }
 
+// sentTo returns the agent that a request was sent to, and since when. One whose connection ended as
+// nothing was written yet counts from when its client got that connection.
+func (r *request) sentTo(last Event) (agent string, since time.Duration) {
+	switch {
+	case r.asked.Kind == Asked:
+		return r.asked.Agent, r.asked.At
+	case last.Connected > 0:
+		return last.Agent, last.Connected
+	}
+	return last.Agent, last.At
+}
+
 // Check judges a run that ended at a time; events must be in the order of time.
 func Check(events []Event, rules Rules, end time.Duration) (broken []Violation) {
 	requests := map[string]*request{}
@@ -183,10 +206,12 @@
 			kills[e.Agent] = append(kills[e.Agent], e)
 		}
 	}
-	// excused tells whether the client left, or the agent was down while it held the request.
-	excused := func(r *request, until time.Duration) bool {
-		return r.excused || slices.ContainsFunc(kills[r.asked.Agent], func(k Event) bool {
-			return r.asked.At <= k.Deadline && until >= k.At
+	// excused tells whether the client left, or the agent was down while it held the request until
+	// the last event.
+	excused := func(r *request, last Event) bool {
+		agent, since := r.sentTo(last)
+		return r.excused || slices.ContainsFunc(kills[agent], func(k Event) bool {
+			return since <= k.Deadline && last.At >= k.At
 		})
 	}
 	get := func(id string) *request {
@@ -214,7 +239,7 @@
 			switch r.final++; {
 			case r.final > 1:
 				add(1, "more than one final answer", r.events...)
-			case e.At > r.asked.Deadline+rules.AnswerSlack+rules.Slack && !excused(r, e.At):
+			case e.At > r.asked.Deadline+rules.AnswerSlack+rules.Slack && !excused(r, e):
 				add(1, fmt.Sprintf("answered %v after the deadline", e.At-r.asked.Deadline), r.events...)
 			case e.Status == 200 && !e.Whole:
 				add(1, "served with what no report server made for it", r.events...)
@@ -222,7 +247,7 @@
 				add(2, "refused though it may have run", r.events...)
 			}
 		case Dropped:
-			if r.final == 0 && !excused(r, e.At) {
+			if r.final == 0 && !excused(r, e) {
 				v := Violation{1, "its connection was ended with no answer", r.events}
 				if slices.ContainsFunc(r.events, func(x Event) bool { return x.Kind == Attempted }) {
 					broken = append(broken, v)
@@ -239,7 +264,7 @@
 			}
 		case Arrived:
 			r.attempts++
-			if r.out++; r.out > 1 && !rules.ParallelTries && !excused(r, e.At) {
+			if r.out++; r.out > 1 && !rules.ParallelTries && !excused(r, e) {
 				add(2, "a second copy while one was out", r.events...)
 			}
 		case Ended:
@@ -278,7 +303,7 @@
 	}
 	for _, id := range order {
 		r := requests[id]
-		if r.asked.Kind == Asked && r.final == 0 && !excused(r, r.asked.Deadline) && end > r.asked.Deadline+rules.AnswerSlack+rules.Slack {
+		if r.asked.Kind == Asked && r.final == 0 && !excused(r, Event{At: r.asked.Deadline}) && end > r.asked.Deadline+rules.AnswerSlack+rules.Slack {
 			add(1, "no final answer", r.events...)
 		}
 	}
--- a/internal/testbed/referee/referee_test.go
+++ b/internal/testbed/referee/referee_test.go
@@ -20,6 +20,11 @@
 	return Event{At: t, Kind: k, Agent: "n1", Server: "s1", Request: id}
 }
 
+// unwritten is a request whose connection came up and ended before anything was written to it.
+func unwritten(connected, ended time.Duration) Event {
+	return Event{At: ended, Kind: Dropped, Agent: "n1", Request: "a", Connected: connected}
+}
+
 func answer(t time.Duration, id string, status int) Event {
 	return Event{At: t, Kind: Answered, Agent: "n1", Request: id, Status: status, Whole: true}
 }
@@ -51,6 +56,11 @@
 		{"dropped as another agent was killed", 1, "ended with no answer", []Event{asked("a", Once), {At: 150 * ms, Kind: Killed, Agent: "n2", Deadline: 180 * ms}, at(200*ms, Dropped, "a")}},
 		{"dropped before its agent was killed", 1, "ended with no answer", []Event{asked("a", Once), at(140*ms, Dropped, "a"), {At: 150 * ms, Kind: Killed, Agent: "n1", Deadline: 180 * ms}}},
 		{"asked after its agent was back", 1, "ended with no answer", []Event{{At: 50 * ms, Kind: Killed, Agent: "n1", Deadline: 99 * ms}, asked("a", Once), at(140*ms, Dropped, "a")}},
+		{"dropped by a killed agent with nothing written", 0, "", []Event{{At: 150 * ms, Kind: Killed, Agent: "n1", Deadline: 180 * ms}, unwritten(140*ms, 160*ms)}},
+		{"the same as another agent was killed", 1, "ended with no answer", []Event{{At: 150 * ms, Kind: Killed, Agent: "n2", Deadline: 180 * ms}, unwritten(140*ms, 160*ms)}},
+		{"the same before its agent was killed", 1, "ended with no answer", []Event{unwritten(130*ms, 149*ms), {At: 150 * ms, Kind: Killed, Agent: "n1", Deadline: 180 * ms}}},
+		{"the same after its agent was back", 1, "ended with no answer", []Event{{At: 150 * ms, Kind: Killed, Agent: "n1", Deadline: 180 * ms}, unwritten(181*ms, 200*ms)}},
+		{"dropped with no connection known", 1, "ended with no answer", []Event{{At: 150 * ms, Kind: Killed, Agent: "n1", Deadline: 180 * ms}, unwritten(0, 200*ms)}},
 		{"answered late by an agent that was paused", 0, "", []Event{asked("a", Once), {At: 150 * ms, Kind: Killed, Agent: "n1", Deadline: 5000 * ms}, answer(5001*ms, "a", 504)}},
 		{"client left", 0, "", []Event{asked("a", Once), at(200*ms, Left, "a")}},
 		{"repeat of what may", 0, "", []Event{asked("a", Repeat), at(110*ms, Arrived, "a"), ran(111*ms, "a", Repeat, ""), at(130*ms, Ended, "a"), at(140*ms, Arrived, "a"), ran(141*ms, "a", Repeat, ""), answer(200*ms, "a", 200)}},
