--- a/internal/testbed/experiment/run.go
+++ b/internal/testbed/experiment/run.go
@@ -320,8 +320,12 @@
 		rules := referee.Rules{AnswerSlack: time.Duration(w.set.Contract.ResponseGraceMs) * time.Millisecond,
 			DrainGrace: time.Duration(w.set.Contract.DrainGraceMs) * time.Millisecond,
 			KeyWindow:  w.effectsWindow(), Slack: socketSlack, ParallelTries: w.set.Limits.AllowParallelAttempts}
-		for _, v := range referee.Check(events, rules, end) {
-			r.Violations = append(r.Violations, v.String())
+		for i, v := range referee.Check(events, rules, end) {
+			text := v.String()
+			if i < maxExplained {
+				text += "\n" + w.evidence(v, events)
+			}
+			r.Violations = append(r.Violations, text)
 		}
 		if w.mesh != nil {
 			if err := p.votes(w, r, fig); err != nil {
--- a/internal/testbed/loadgen/client.go
+++ b/internal/testbed/loadgen/client.go
@@ -47,6 +47,7 @@
 type Client struct {
 	cfg    *Config
 	agent  string
+	addr   string
 	url    string
 	log    *referee.Log
 	start  time.Duration // of the load, on the log's clock
@@ -54,6 +55,8 @@
 	fresh  *http.Client // uses no connection twice
 	tries  *Tries
 	wanted sync.WaitGroup
+
+	socketReads atomic.Int64 // for dropped requests
 }
 
 // Tries knows, for report servers, what each request takes by its id. It is safe for
@@ -104,7 +107,7 @@
 // log's clock.
 func NewClient(cfg *Config, agent, addr string, start time.Duration, log *referee.Log, tries *Tries) *Client {
 	dialer := net.Dialer{Timeout: 2 * time.Second, KeepAlive: -1}
-	return &Client{cfg: cfg, agent: agent, url: "http://" + addr, log: log, start: start, tries: tries,
+	return &Client{cfg: cfg, agent: agent, addr: addr, url: "http://" + addr, log: log, start: start, tries: tries,
 		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxConns,
 			MaxConnsPerHost: maxConns, IdleConnTimeout: 8 * time.Second, DisableCompression: true}},
 		fresh: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}}}
@@ -253,7 +256,7 @@
 		case ctx.Err() != nil: // waited for longer than its time: the referee tells by what is missing
 			return Failed, 0
 		}
-		seen.Connected, seen.Detail = time.Duration(connected.Load()), err.Error()
+		seen.Connected, seen.Detail = time.Duration(connected.Load()), c.dropDetail(err)
 		note(referee.Dropped)
 		return Failed, 0
 	}
--- a/internal/testbed/loadgen/client_test.go
+++ b/internal/testbed/loadgen/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -52,7 +53,7 @@
 		})
 	}
 	events := log.Events()
-	unwritten := 0
+	unwritten, withSockets := 0, 0
 	asked := map[string]bool{}
 	for _, e := range events {
 		switch e.Kind {
@@ -62,12 +63,18 @@
 			if !asked[e.Request] {
 				unwritten++
 			}
+			if strings.Contains(e.Detail, client.addr+" to 0.0.0.0:0 LISTEN") {
+				withSockets++
+			}
 			if e.Connected < killedAt || e.Connected > e.At || e.Detail == "" {
 				t.Errorf("connected at %v: %v", e.Connected, e)
 			}
 		}
 	}
 	t.Logf("%d of %d connections ended with nothing written", unwritten, requests)
+	if withSockets != maxSocketReads {
+		t.Errorf("the agent's sockets were noted %d times, want %d", withSockets, maxSocketReads)
+	}
 	rules, end := referee.Rules{Slack: time.Second}, log.Now()
 	if broken := referee.Check(events, rules, end); len(broken) != requests {
 		t.Errorf("%d violations where nobody killed the agent, want %d", len(broken), requests)
