End the outages of killed agents with the play, and count no crash for them

The referee was told of an outage only once the agent was ready again, so that a play that ended before had it end with the kill, and a request written to an old connection after that would have counted as lost.

Cause: the end of a play sent SIGTERM to processes that were killed, and waited for one that it had ended itself.

Change: outages have a file of their own; each ends once, when its agent is ready or the play ends.

--- a/internal/testbed/experiment/faults.go
+++ b/internal/testbed/experiment/faults.go
@@ -27,24 +27,18 @@
 var kinds = map[string]func(ctx context.Context, w *world, f *Fault) (end func() error, err error){
 	// Agents are killed, and start again from nothing but the list.
 	"kill-agents": func(ctx context.Context, w *world, f *Fault) (func() error, error) {
-		hit, from := w.someAgents(f), w.log.Now()
+		hit := w.someAgents(f)
+		w.beginOutages(hit)
 		for _, a := range hit {
 			w.mean(a.proc)
 			a.proc.Kill()
-			w.log.Add(referee.Event{At: from, Kind: referee.Killed, Agent: a.name, Deadline: w.log.Now()})
 		}
 		later(ctx, w, killedFor, func() error {
 			for _, a := range hit {
 				if err := w.restart(a); err != nil {
 					return err
 				}
-				go func() {
-					// Until it is back its old connections may still be written to.
-					if err := w.awaitReady(ctx, a); err != nil && ctx.Err() == nil {
-						w.died(err.Error())
-					}
-					w.log.Add(referee.Event{At: from, Kind: referee.Killed, Agent: a.name, Deadline: w.log.Now()})
-				}()
+				go w.awaitReturn(ctx, a, a.proc)
 			}
 			return nil
 		})
--- a/internal/testbed/experiment/run.go
+++ b/internal/testbed/experiment/run.go
@@ -289,6 +289,7 @@
 			cpu += a.proc.CPU()
 		}
 	}
+	w.endOutages()
 	events := w.log.Events()
 	t.attempts = attemptsOf(events, w)
 	warm := time.Duration(r.Warmup)
--- a/internal/testbed/experiment/world.go
+++ b/internal/testbed/experiment/world.go
@@ -124,12 +124,14 @@
 	cuts   []func(a *agent, s *server) (to, from bool)
 	deaths []string // of agents that nobody killed
 	meant  map[*process.Proc]bool
+	// outages has the time at which each agent was killed that is not back yet.
+	outages map[*agent]time.Duration
 }
 
 // build makes a fleet; with agents it starts their processes and waits until they are ready.
 func build(ctx context.Context, fl Fleet, scraped bool, set policy.Settings, cfg *loadgen.Config, seed uint64, bin, dir string, agents bool) (w *world, err error) {
 	w = &world{fleet: fl, seed: seed, rng: rand.New(rand.NewPCG(seed, 21)), dir: dir, bin: bin, log: referee.NewLog(),
-		tries: loadgen.NewTries(), group: process.NewGroup(), set: set, meant: map[*process.Proc]bool{}, scraped: scraped,
+		tries: loadgen.NewTries(), group: process.NewGroup(), set: set, meant: map[*process.Proc]bool{}, outages: map[*agent]time.Duration{}, scraped: scraped,
 		todo: make(chan func() error), over: make(chan struct{}), fell: map[string]time.Duration{}}
 	defer func() {
 		if err != nil {
@@ -216,6 +218,10 @@
 	var wg sync.WaitGroup
 	for _, a := range w.agents {
 		w.mean(a.proc)
+		if w.isDown(a) { // it may not heed SIGTERM yet
+			a.proc.Kill()
+			continue
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
