Answer 429 only once nothing of the tenant's quota is out of sight

Cause, from traces of draws and answers (trials), each seen: the draw that a slow holder answers after its gathering has ended is on its way back when the next request comes; the question that a client asked a second holder after 40 ms is admitted there, too, and its answer comes to the client after, or just before, that of the next request; two holders gather for both questions at once, each with a part of what is left, and both fail; a draw is given up after 80 ms and its holder answers later, so that what it gave is lost; a gathering ends with more than it needed after another one has drawn from its holder.

Change: gatherings have a rank, and the lower one yields (gathering.go); a draw that gets too little waits for what is on its way to that holder, 40 ms at most, and is told who drew there lately; what comes after the draw's time-out goes to the own share (draw.go); a client takes a rejection only once its other and earlier questions for the tenant are answered (late_answers.go). All waits are within the client's 200 ms, no question is asked more than before, and the new fields are optional on the wire. Bounds of windows are untouched: nothing is given that was not taken.

--- a/internal/fleet/quota/broker.go
+++ b/internal/fleet/quota/broker.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -23,16 +21,9 @@
 	callDeputize = "quota.deputize"
 )
 
-const (
-	// drawTimeout bounds one draw from another holder, drawHedgeDelay is after how long the next one is
-	// drawn from beside it, and unresponsivePause for how long one that did not answer is passed over.
-	drawTimeout       = 80 * time.Millisecond
-	drawHedgeDelay    = 15 * time.Millisecond
-	unresponsivePause = time.Second
-	// exhaustedPause is for how long a tenant counts as exhausted after nothing more could be drawn
-	// from any member.
-	exhaustedPause = 40 * time.Millisecond
-)
+// exhaustedPause is for how long a tenant counts as exhausted after nothing more could be drawn from any
+// member.
+const exhaustedPause = 40 * time.Millisecond
 
 // Verdict is what becomes of a request that was asked for.
 type Verdict uint8
@@ -59,19 +50,6 @@
 	Undecided bool `msgpack:"u,omitempty"`
 }
 
-// drawRequest asks another holder for what a share lacks.
-type drawRequest struct {
-	Tenant string  `msgpack:"t"`
-	Amount float64 `msgpack:"a"` // that is needed now
-	Extra  float64 `msgpack:"x"` // that the share has room for beyond that
-}
-
-// drawResponse has how much of that it gives.
-type drawResponse struct {
-	Amount float64 `msgpack:"a"`
-	Level  float64 `msgpack:"l"` // what its share then has
-}
-
 // MaxConfirmedAge is how long ago a member of the core must have been confirmed by a majority to admit
 // requests by its share: a member that was replaced while it is cut off learns it no other way.
 const MaxConfirmedAge = 3 * time.Second
@@ -114,7 +92,9 @@
 
 	mu           sync.Mutex // guards all that follows
 	ledger       *Ledger
-	gathering    map[string]chan struct{} // by tenant whose draws are in progress; closed at their end
+	gatherings   map[string]*gathering    // by tenant whose draws are in progress
+	lateDraws    map[string]*lateDraws    // by tenant of which a draw has outlasted its gathering
+	recentDraws  map[string]recentDraw    // by tenant
 	exhausted    map[string]exhaustion    // of tenants for which lately nothing more could be drawn
 	unresponsive map[string]time.Duration // until when a holder is not drawn from
 	rejected     map[string]int64         // by tenant, since the start
@@ -139,7 +119,9 @@
 		options:      options,
 		started:      time.Now(),
 		ledger:       NewLedger(options.Bounds),
-		gathering:    map[string]chan struct{}{},
+		gatherings:   map[string]*gathering{},
+		lateDraws:    map[string]*lateDraws{},
+		recentDraws:  map[string]recentDraw{},
 		exhausted:    map[string]exhaustion{},
 		unresponsive: map[string]time.Duration{},
 		rejected:     map[string]int64{},
@@ -180,6 +162,11 @@
 			delete(b.peerLevels, name)
 		}
 	}
+	for name := range b.recentDraws {
+		if _, ok := limits[name]; !ok {
+			delete(b.recentDraws, name)
+		}
+	}
 	for name := range b.rejected {
 		if _, ok := limits[name]; !ok {
 			delete(b.rejected, name)
@@ -200,45 +187,42 @@
 		return admitResponse{Verdict: Unavailable}
 	}
 	for {
-		taken, inProgress, response := b.takeOwn(tenant, amount, divisor)
-		if inProgress == nil {
-			if response.Verdict == Unavailable && taken >= 0 {
-				return b.gather(ctx, tenant, amount, taken)
-			}
+		own, running, response := b.takeOwn(tenant, amount, divisor)
+		switch {
+		case own != nil:
+			return b.gather(ctx, own)
+		case running == nil:
 			return response
 		}
 		select {
-		case <-inProgress:
+		case <-running.done:
 		case <-ctx.Done():
 			return admitResponse{Verdict: Unavailable}
 		}
 	}
 }
 
-// noShare is what takeOwn returns as taken where the tenant has no quota here.
-const noShare = -1
-
-// takeOwn takes an amount of the own share. Where that does not suffice it takes what is there, and the
-// caller has to gather what is missing; the verdict is Unavailable then. inProgress is the end of
-// another gathering for the tenant, which is to be waited for first.
-func (b *Broker) takeOwn(tenant string, amount float64, divisor int) (taken float64, inProgress <-chan struct{}, response admitResponse) {
+// takeOwn takes an amount of the own share. Where that does not suffice it takes what is there and begins a
+// gathering of the rest, own. If another one for the tenant is running, that is to be waited for first.
+func (b *Broker) takeOwn(tenant string, amount float64, divisor int) (own, running *gathering, response admitResponse) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	b.ledger.SetDivisor(now, divisor)
 	switch {
 	case !b.ledger.Known(tenant):
-		return noShare, nil, admitResponse{Verdict: Unavailable} // by another configuration than the agent's
+		return nil, nil, admitResponse{Verdict: Unavailable} // by another configuration than the agent's
 	case b.ledger.Take(now, tenant, amount):
-		return amount, nil, admitResponse{Verdict: Admitted}
+		return nil, nil, admitResponse{Verdict: Admitted}
 	case now < b.exhausted[tenant].until:
-		return noShare, nil, b.rejectLocked(tenant, amount, b.exhausted[tenant].proven)
+		return nil, nil, b.rejectLocked(tenant, amount, b.exhausted[tenant].proven)
 	}
-	if running := b.gathering[tenant]; running != nil {
-		return 0, running, admitResponse{}
+	if running := b.gatherings[tenant]; running != nil {
+		return nil, running, admitResponse{}
 	}
-	b.gathering[tenant] = make(chan struct{})
-	return b.ledger.Draw(now, tenant, amount), nil, admitResponse{Verdict: Unavailable}
+	own = newGathering(tenant, amount, b.ledger.Draw(now, tenant, amount))
+	b.gatherings[tenant] = own
+	return own, nil, admitResponse{}
 }
 
 // exhaustion is for how long a tenant counts as exhausted after nothing more could be drawn, and whether
@@ -258,151 +242,6 @@
 	return admitResponse{Verdict: Exhausted, RetryAfterMs: b.ledger.RetryAfter(tenant, amount).Milliseconds()}
 }
 
-// gather draws what is missing of an amount from other holders. If they don't have it, what was taken is
-// returned to the own share.
-func (b *Broker) gather(ctx context.Context, tenant string, amount, taken float64) admitResponse {
-	holders := b.options.Core.HolderAddrs()
-	b.mu.Lock()
-	others := b.drawOrderLocked(tenant, holders)
-	room := b.ledger.Room(b.now(), tenant)
-	b.mu.Unlock()
-	draws := make(chan draw, len(others))
-	next, pending, answered := 0, 0, 0
-	hedge := time.NewTimer(0)
-	defer hedge.Stop()
-	for taken < amount && ctx.Err() == nil && (next < len(others) || pending > 0) {
-		select {
-		case drawn := <-draws:
-			taken += drawn.amount
-			pending--
-			if drawn.answered {
-				answered++
-			}
-			hedge.Reset(0)
-		case <-hedge.C:
-			if next < len(others) {
-				request := &drawRequest{Tenant: tenant, Amount: amount - taken, Extra: room}
-				addr := others[next]
-				next++
-				pending++
-				go func() { draws <- b.drawFrom(addr, request) }()
-				hedge.Reset(drawHedgeDelay)
-			}
-		case <-ctx.Done():
-		}
-	}
-	if pending > 0 {
-		go b.returnLate(tenant, draws, pending)
-	}
-	isAlone := len(holders) == 0 || len(holders) == 1 && holders[0] == b.options.SelfAddr
-	return b.finishGathering(tenant, amount, taken, answered > 0 || isAlone)
-}
-
-// finishGathering ends the gathering for a tenant. Unless another holder has answered, or there is none, the
-// tenant may be within its quota. To want an answer of all of them costs more than it is worth: under a
-// hot tenant some are always late, and clients come back sooner after 503 than after 429.
-func (b *Broker) finishGathering(tenant string, amount, taken float64, proven bool) admitResponse {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	close(b.gathering[tenant])
-	delete(b.gathering, tenant)
-	now := b.now()
-	if taken >= amount {
-		b.ledger.Return(now, tenant, taken-amount)
-		return admitResponse{Verdict: Admitted}
-	}
-	b.ledger.Return(now, tenant, taken)
-	b.exhausted[tenant] = exhaustion{until: now + exhaustedPause, proven: proven}
-	return b.rejectLocked(tenant, amount-taken, proven)
-}
-
-// returnLate adds to the own share what is drawn after its gathering has ended.
-func (b *Broker) returnLate(tenant string, draws <-chan draw, pending int) {
-	for range pending {
-		drawn := <-draws
-		b.mu.Lock()
-		b.ledger.Return(b.now(), tenant, drawn.amount)
-		b.mu.Unlock()
-	}
-}
-
-// drawOrderLocked returns the other holders in the order in which they are drawn from: those whose shares
-// had the most come first, after those of which nothing is known. It leaves out those that lately did
-// not answer.
-func (b *Broker) drawOrderLocked(tenant string, holders []string) []string {
-	now := b.now()
-	others := slices.DeleteFunc(slices.Clone(holders), func(addr string) bool {
-		return addr == b.options.SelfAddr || now < b.unresponsive[addr]
-	})
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	known := b.peerLevels[tenant]
-	for addr := range known {
-		if !slices.Contains(holders, addr) {
-			delete(known, addr)
-		}
-	}
-	level := func(addr string) float64 {
-		if level, ok := known[addr]; ok {
-			return level
-		}
-		return math.Inf(1)
-	}
-	slices.SortStableFunc(others, func(x, y string) int { return cmp.Compare(level(y), level(x)) })
-	return others
-}
-
-// draw is what one other holder gave.
-type draw struct {
-	amount float64
-	// answered: it told what it has, or can't be reached, so that its share is lost with it.
-	answered bool
-}
-
-// drawFrom draws from one other holder.
-func (b *Broker) drawFrom(addr string, request *drawRequest) draw {
-	ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
-	defer cancel()
-	response, err := rpc.Call[drawRequest, drawResponse](ctx, b.options.Pool, addr, callDraw, request)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if err != nil {
-		b.unresponsive[addr] = b.now() + unresponsivePause
-		b.forgetResponsiveLocked()
-		return draw{answered: ctx.Err() == nil}
-	}
-	levels := b.peerLevels[request.Tenant]
-	if levels == nil {
-		levels = map[string]float64{}
-		b.peerLevels[request.Tenant] = levels
-	}
-	levels[addr] = response.Level
-	return draw{amount: max(min(response.Amount, request.Amount+request.Extra), 0), answered: true}
-}
-
-// forgetResponsiveLocked drops the holders that may be drawn from again.
-func (b *Broker) forgetResponsiveLocked() {
-	now := b.now()
-	for addr, until := range b.unresponsive {
-		if now >= until {
-			delete(b.unresponsive, addr)
-		}
-	}
-}
-
-// handleDraw gives another holder what it lacks of this one's share, as far as that goes.
-func (b *Broker) handleDraw(_ context.Context, request *drawRequest) (*drawResponse, error) {
-	divisor, ok := b.divisor()
-	if !ok {
-		return &drawResponse{}, nil
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.now()
-	b.ledger.SetDivisor(now, divisor)
-	drawn := b.ledger.DrawBalanced(now, request.Tenant, max(request.Amount, 0), max(request.Extra, 0))
-	return &drawResponse{Amount: drawn, Level: b.ledger.Level(now, request.Tenant)}, nil
-}
-
 // Report is the state of the quotas at one process, as operators see it.
 type Report struct {
 	Admits   bool             `json:"admits"` // it is a member of the core, or a deputy
--- a/internal/fleet/quota/client.go
+++ b/internal/fleet/quota/client.go
@@ -47,6 +47,7 @@
 	paused       map[string]pause          // by tenant
 	unresponsive map[string]time.Duration  // until when a holder or agent is asked last
 	forwarding   int                       // questions of other agents in progress
+	late         map[string][]*lateAnswers // by tenant: of questions that were decided without them
 	// unansweredSince is when the first question was asked since a holder has answered one; 0: there is none.
 	unansweredSince time.Duration
 }
@@ -73,6 +74,7 @@
 		returned:     map[string]returnedAmount{},
 		paused:       map[string]pause{},
 		unresponsive: map[string]time.Duration{},
+		late:         map[string][]*lateAnswers{},
 	}
 }
 
@@ -87,6 +89,9 @@
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
 	response := c.admitDirectly(ctx, &admitRequest{Tenant: tenant, Amount: amount}, true)
+	if response.Verdict == Exhausted && c.awaitReturned(ctx, tenant, amount) {
+		return Decision{Verdict: Admitted}
+	}
 	decision := Decision{
 		Verdict:    response.Verdict,
 		RetryAfter: time.Duration(response.RetryAfterMs) * time.Millisecond,
@@ -131,18 +136,26 @@
 func (c *Client) decideLocally(tenant string, amount float64) (decision Decision, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
-	if available := c.returned[tenant]; now < available.expiresAt && available.amount >= amount {
-		available.amount -= amount
-		c.returned[tenant] = available
+	if c.takeReturnedLocked(tenant, amount) {
 		return Decision{Verdict: Admitted}, true
 	}
-	if paused, found := c.paused[tenant]; found && now < paused.until && amount >= paused.amount {
+	if paused, found := c.paused[tenant]; found && c.now() < paused.until && amount >= paused.amount {
 		return paused.decision, true
 	}
 	return Decision{}, false
 }
 
+// takeReturnedLocked takes an amount of what was admitted and not used, if all of it is there.
+func (c *Client) takeReturnedLocked(tenant string, amount float64) bool {
+	available := c.returned[tenant]
+	if c.now() >= available.expiresAt || available.amount < amount {
+		return false
+	}
+	available.amount -= amount
+	c.returned[tenant] = available
+	return true
+}
+
 // pause has requests of a tenant that are not smaller get the same decision for a moment without asking.
 func (c *Client) pause(tenant string, amount float64, decision Decision, length time.Duration) {
 	c.mu.Lock()
@@ -157,23 +170,23 @@
 func (r *admitResponse) isFinal() bool { return r.Verdict != Unavailable || r.Undecided }
 
 // ask asks candidates in turn: the next one once the one before has failed, or has not answered for
-// hedgeDelay. What one admits after another has is returned.
+// hedgeDelay. What one admits after another has is returned. That one is exhausted is the answer only once
+// the others that were asked have answered, too: they may have what it lacked.
 func (c *Client) ask(ctx context.Context, request *admitRequest, asked *candidates) admitResponse {
 	answers := make(chan admitResponse, asked.limit())
 	pending := 0
 	var latest candidate
-	defer func() {
-		if pending > 0 {
-			go c.returnLate(request, answers, pending)
-		}
-	}()
+	defer func() { c.returnLate(request, answers, pending) }()
 	hedge := time.NewTimer(0)
 	defer hedge.Stop()
 	for {
 		select {
 		case answer := <-answers:
 			pending--
-			if answer.isFinal() {
+			switch {
+			case answer.Verdict == Exhausted && pending > 0:
+				return c.awaitOthers(ctx, answer, answers, &pending)
+			case answer.isFinal():
 				return answer
 			}
 			hedge.Reset(0)
@@ -196,13 +209,20 @@
 	}
 }
 
-// returnLate returns what holders admit after their answer was waited for.
-func (c *Client) returnLate(request *admitRequest, answers <-chan admitResponse, pending int) {
-	for range pending {
-		if answer := <-answers; answer.Verdict == Admitted {
-			c.Return(request.Tenant, request.Amount)
+// awaitOthers returns the first answer that admits, and the rejection if none of those pending does.
+func (c *Client) awaitOthers(ctx context.Context, rejection admitResponse, answers <-chan admitResponse, pending *int) admitResponse {
+	for *pending > 0 {
+		select {
+		case answer := <-answers:
+			*pending--
+			if answer.Verdict == Admitted {
+				return answer
+			}
+		case <-ctx.Done():
+			return rejection
 		}
 	}
+	return rejection
 }
 
 // askCandidate asks one candidate.
