Grant each agent its rate of prefill notices, and bound what a relay forwards

Callers saw members of a core of six end over their memory some 9 s after 300 processes had started at once. Cause: an agent divided the fleet's allowance by the agents that it knew. A session held up to 512 of them for a slow peer. Change: a relay grants each agent its share, by the agents that it remembers from its disk; an agent without a grant sends none. A relay forwards no more than it has granted. A burst is what the rate gives in 30 s, at most 100 as before. Relays with many sessions collect notices for longer; outdated ones are dropped.

--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -83,6 +83,9 @@
 	// LeaseQuestion and LeaseAnswer are sent between members of the core, see leasePoll.
 	LeaseQuestion *leaseQuestion `msgpack:"w,omitempty"`
 	LeaseAnswer   *leaseAnswer   `msgpack:"y,omitempty"`
+	// NoticeAllowance is the rate of notices that a relay grants to the receiver, in bytes per second. A message
+	// without it leaves the last grant in force.
+	NoticeAllowance uint32 `msgpack:"b,omitempty"`
 }
 
 // stream carries the messages of a session.
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -115,12 +115,14 @@
 	configCache   configCache
 	configHistory configHistory
 	// needsWholeConfig is set when a configuration diff could not be applied, until a configuration arrives.
-	needsWholeConfig  bool
-	codec             deltaCodec    // has its own locks: mu need not be held
-	noticeLimiter     *rate.Limiter // in bytes that this node's notices cost each receiver
-	tableFullLog      rate.Sometimes
-	publishedSnapshot Snapshot
-	changed           chan struct{} // closed and replaced at each change
+	needsWholeConfig bool
+	codec            deltaCodec    // has its own locks: mu need not be held
+	noticeLimiter    *rate.Limiter // in bytes that this node's notices cost each receiver
+	// forwardedNoticeLimiter limits the notices that a relay forwards for its agents, in the same unit.
+	forwardedNoticeLimiter *rate.Limiter
+	tableFullLog           rate.Sometimes
+	publishedSnapshot      Snapshot
+	changed                chan struct{} // closed and replaced at each change
 }
 
 // New returns a node with a new incarnation and the servers that an earlier incarnation saved.
@@ -129,18 +131,19 @@
 		options.Dialer = rpc.TCPDialer{}
 	}
 	n := &Node{
-		options:       options,
-		startTime:     time.Now(),
-		changeLog:     eventlog.New[deltasync.Change](changeLogSize),
-		members:       map[string]Member{},
-		leases:        newLeaseManager(),
-		ends:          endAnnouncements{},
-		codec:         newDeltaCodec(),
-		sessions:      sessionSet{},
-		noticeLimiter: rate.NewLimiter(0, noticeBurst*noticeSize),
-		tableFullLog:  rate.Sometimes{Interval: tableFullLogInterval},
-		changed:       make(chan struct{}),
-		freshness:     freshness{enabled: options.ConfirmConfig != nil, confirmWake: make(chan struct{}, 1)},
+		options:                options,
+		startTime:              time.Now(),
+		changeLog:              eventlog.New[deltasync.Change](changeLogSize),
+		members:                map[string]Member{},
+		leases:                 newLeaseManager(),
+		ends:                   endAnnouncements{},
+		codec:                  newDeltaCodec(),
+		sessions:               sessionSet{},
+		noticeLimiter:          newNoticeLimiter(),
+		forwardedNoticeLimiter: newNoticeLimiter(),
+		tableFullLog:           rate.Sometimes{Interval: tableFullLogInterval},
+		changed:                make(chan struct{}),
+		freshness:              freshness{enabled: options.ConfirmConfig != nil, confirmWake: make(chan struct{}, 1)},
 	}
 	n.attachment = newAttachment(n.now())
 	n.memberAddrs = memberAddrs{lastSeen: map[string]time.Duration{}}
--- a/internal/fleet/relay/receive.go
+++ b/internal/fleet/relay/receive.go
@@ -69,6 +69,9 @@
 		s.lastQuorum = s.lastMessage
 	}
 	s.peerIsCore, s.peerHasQuorum = m.IsCore, m.HasQuorum
+	if m.NoticeAllowance > 0 {
+		s.noticeAllowance = m.NoticeAllowance
+	}
 	if m.Hello == nil { // a hello is sent before the deltas and reports no completeness
 		s.peerComplete, s.completenessKnown = m.Complete, true
 	}
--- a/internal/fleet/relay/send.go
+++ b/internal/fleet/relay/send.go
@@ -121,6 +121,7 @@
 	update.Acknowledged = n.takeAcknowledgementsLocked(s)
 	if update.IsCore && !s.peerIsCore {
 		update.QuorumVersion = n.quorumVersionLocked(s.source, members)
+		update.NoticeAllowance = n.grantedNoticeAllowanceLocked()
 	}
 	n.addFreshnessLocked(s, update)
 	n.addLeasePollLocked(s, update)
@@ -155,11 +156,14 @@
 	}
 }
 
-// sendNotices sends the pending notices.
+// sendNotices sends the pending notices that are still useful.
 func (out *sender) sendNotices() error {
 	m := out.lastStatus.message()
 	out.node.mu.Lock()
 	m.Notices = out.session.dequeueNotices(out.node.now())
 	out.node.mu.Unlock()
+	if len(m.Notices) == 0 {
+		return nil
+	}
 	return out.stream.Send(m)
 }
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -59,8 +59,9 @@
 	leasePollSent uint64       // ID of the last lease question sent to the peer
 	leaseAnswer   *leaseAnswer // unsent answer to the peer's lease question; nil if there is none
 
-	pendingNotices []notice
-	noticeTimer    *time.Timer // fires when the pending notices are due to be sent
+	noticeAllowance uint32 // rate of notices that the peer grants to this node, in bytes per second; 0 before a grant
+	pendingNotices  []notice
+	noticeTimer     *time.Timer // fires when the pending notices are due to be sent
 }
 
 // newSession returns a session with the peer that sent a hello. The caller must stop its noticeTimer.
