--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -86,6 +86,9 @@
 	// NoticeAllowance is the rate of notices that a relay grants to the receiver, in bytes per second. A message
 	// without it leaves the last grant in force.
 	NoticeAllowance uint32 `msgpack:"b,omitempty"`
+	// RetryAfterMs is sent in place of a hello by a relay that admits no further session now: the caller should
+	// not dial it again earlier.
+	RetryAfterMs uint32 `msgpack:"k,omitempty"`
 }
 
 // stream carries the messages of a session.
