Hold a pending prefill notice once for all sessions of a relay

Each session held its own copy of every notice that waited for it: 14.4 MB at 294 sessions with the former bound of 512, 3.7 MB with the present one of 128. Change: sessions share a notice and hold a pointer to it; the age is set in the copies that are sent. The test of pending notices names 64 prefixes in each, as one may, and requires that as many wait as may.

--- a/internal/fleet/relay/notice.go
+++ b/internal/fleet/relay/notice.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -98,7 +97,7 @@
 	if !limiter.AllowN(at, noticeSize) {
 		return
 	}
-	newNotice := notice{Instance: prefillNotice.Instance, Prefixes: prefillNotice.Prefixes, PromptTokens: prefillNotice.PromptTokens, UncachedTokens: prefillNotice.UncachedTokens, sentAt: n.now()}
+	newNotice := &notice{Instance: prefillNotice.Instance, Prefixes: prefillNotice.Prefixes, PromptTokens: prefillNotice.PromptTokens, UncachedTokens: prefillNotice.UncachedTokens, sentAt: n.now()}
 	delay := n.sessions.noticeBatchDelay()
 	for s := range n.sessions {
 		s.enqueueNotice(newNotice, delay)
@@ -167,7 +166,8 @@
 	if fromAgent {
 		setNoticeRate(n.forwardedNoticeLimiter, at, n.grantedNoticeAllowanceLocked(), len(n.sessions))
 	}
-	for _, receivedNotice := range notices {
+	for i := range notices {
+		receivedNotice := &notices[i]
 		if !receivedNotice.valid() {
 			continue
 		}
@@ -181,7 +181,8 @@
 		}
 		receivedNotice.Hops++
 		if isMember && receivedNotice.Hops < maxHops {
-			n.sessions.forwardNotice(from, receivedNotice, delay)
+			forwarded := *receivedNotice // a copy, as sessions that are slow keep it longer than the others of its message
+			n.sessions.forwardNotice(from, &forwarded, delay)
 		}
 	}
 }
@@ -193,7 +194,7 @@
 
 // forwardNotice forwards a notice. One that came from a relay goes to the agents, one that came from an
 // agent goes to all other peers.
-func (set sessionSet) forwardNotice(from *session, forwardedNotice notice, delay time.Duration) {
+func (set sessionSet) forwardNotice(from *session, forwardedNotice *notice, delay time.Duration) {
 	for s := range set {
 		if s != from && !(from.peerIsCore && s.peerIsCore) {
 			s.enqueueNotice(forwardedNotice, delay)
@@ -201,8 +202,9 @@
 	}
 }
 
-// enqueueNotice schedules a notice to be sent after a delay, or drops it if too many are pending.
-func (s *session) enqueueNotice(pendingNotice notice, delay time.Duration) {
+// enqueueNotice schedules a notice to be sent after a delay, or drops it if too many are pending. All sessions
+// share the notice, which must not be changed any more: a relay with hundreds of sessions holds it once.
+func (s *session) enqueueNotice(pendingNotice *notice, delay time.Duration) {
 	if len(s.pendingNotices) >= maxPendingNotices {
 		return
 	}
@@ -212,12 +214,17 @@
 	}
 }
 
-// dequeueNotices removes the pending notices, and returns those that are still useful with their age updated.
+// dequeueNotices removes the pending notices, and returns copies of those that are still useful with their age
+// updated.
 func (s *session) dequeueNotices(now time.Duration) []notice {
-	notices := s.pendingNotices
-	s.pendingNotices = nil
-	for i := range notices {
-		notices[i].AgeMs = int((now - notices[i].sentAt).Milliseconds())
+	notices := make([]notice, 0, len(s.pendingNotices))
+	for _, pending := range s.pendingNotices {
+		if age := now - pending.sentAt; age <= maxNoticeAge {
+			sent := *pending
+			sent.AgeMs = int(age.Milliseconds())
+			notices = append(notices, sent)
+		}
 	}
-	return slices.DeleteFunc(notices, func(pending notice) bool { return pending.age() > maxNoticeAge })
+	s.pendingNotices = nil
+	return notices
 }
--- a/internal/fleet/relay/overload_test.go
+++ b/internal/fleet/relay/overload_test.go
@@ -99,13 +99,23 @@
 	agents := member.connectAgents(overloadAgents)
 	before := heapsize.InUse()
 	for _, agent := range agents {
-		member.deliver(agent, &message{Notices: make([]notice, 2*maxPendingNotices/overloadAgents+1)})
+		member.deliver(agent, &message{Notices: longNotices()})
 	}
 	held := float64(heapsize.InUse() - before)
-	require.Len(t, member.sessions, overloadAgents)
+	require.Len(t, agents[0].pendingNotices, maxPendingNotices, "as many wait as may")
 	assert.Less(t, held, noticeShare*overloadMemoryBytes, "bytes of pending notices")
 }
 
+// longNotices returns notices that name as many prefixes as one may. Those of all agents are more than may wait on
+// a session.
+func longNotices() []notice {
+	notices := make([]notice, 4)
+	for i := range notices {
+		notices[i] = notice{Instance: "i-00000001", Prefixes: make([]balancer.Segment, maxNoticePrefixes)}
+	}
+	return notices
+}
+
 // All agents of a large fleet have just started and know nobody yet. The notices that they send at once exceed the
 // rate for an agent that receives them from its relay neither at their senders nor on the way.
 func TestNoticesOfALargeFleetThatHasJustStartedAreBounded(t *testing.T) {
@@ -115,8 +125,8 @@
 		receiver := agents[0]
 		for i, sender := range agents[1:] {
 			member.deliver(sender, &message{Notices: noticesOfFreshAgent()})
-			if i%(overloadAgents*int(noticeBatchDelay/time.Millisecond)/1000) == 0 { // all senders within a second
-				<-time.After(noticeBatchDelay)
+			if i%(overloadAgents*int(maxNoticeBatchDelay/time.Millisecond)/1000) == 0 { // all senders within a second
+				<-time.After(maxNoticeBatchDelay)
 				receivedBytes += noticeSize * len(receiver.dequeueNotices(member.now()))
 			}
 		}
@@ -139,7 +149,7 @@
 	agent := New(Options{Self: *benchMember(0), HeartbeatInterval: time.Second, Core: newFakeCore(false, false), LinkMbps: 10})
 	toRelay := newSession(agent.now(), &hello{Source: "h/1", IsCore: true}, "addr of h", func() uint64 { return 0 }, func() {})
 	agent.sessions[toRelay] = true
-	for range noticeBurst {
+	for range maxNoticeBurst {
 		agent.BroadcastNotice(balancer.PrefillNotice{Instance: "i-00000001", PromptTokens: 6000, UncachedTokens: 4000}, time.Second)
 	}
 	return toRelay.dequeueNotices(agent.now())
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -59,8 +59,8 @@
 	leasePollSent uint64       // ID of the last lease question sent to the peer
 	leaseAnswer   *leaseAnswer // unsent answer to the peer's lease question; nil if there is none
 
-	noticeAllowance uint32 // rate of notices that the peer grants to this node, in bytes per second; 0 before a grant
-	pendingNotices  []notice
+	noticeAllowance uint32      // rate of notices that the peer grants to this node, in bytes per second; 0 before a grant
+	pendingNotices  []*notice   // shared with other sessions
 	noticeTimer     *time.Timer // fires when the pending notices are due to be sent
 }
 
