Bound a process's connections and short calls from its memory limit

A connection counted until it was closed, so handlers whose callers had left were in no bound, and the bound of 2,048 was the same for every memory. A member of the core that was held up kept what 294 callers left behind each 0.4 s and worked on it for nobody: 63 MB of 102 MB after 9 s. Change: rpc.Serve takes options. A connection counts until its handlers have ended; five are served for each MB of the memory limit (510 at 102 MB: 294 sessions at one member, and short calls besides), and a quarter of that many short calls run at once. What is over the bound is closed or refused at once. A call whose caller has left does not begin. Machines of the core, known by their IP addresses, have a reserve. `edgectl figures` shows what is taken and refused.

--- a/internal/fleet/assembly/assembly.go
+++ b/internal/fleet/assembly/assembly.go
@@ -4,6 +4,8 @@
 package assembly
 
 import (
+	"net"
+	"slices"
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/controlplane"
@@ -80,3 +82,28 @@
 	}
 	return node.UnreachedAddrs()
 }
+
+// IsPriorityCaller returns a function that reports whether a caller's address is that of a machine of the core,
+// whose heartbeats and votes must be served however many agents call. While no member of the core is known, the
+// machines of the seeds count as such. members and seeds return addresses as HOST:PORT.
+func IsPriorityCaller(members func() []relay.Peer, seeds func() []string) func(net.Addr) bool {
+	return func(caller net.Addr) bool {
+		host, _, err := net.SplitHostPort(caller.String())
+		if err != nil {
+			return false
+		}
+		peers := members()
+		for _, peer := range peers {
+			if isOnHost(peer.Addr, host) {
+				return true
+			}
+		}
+		return len(peers) == 0 && slices.ContainsFunc(seeds(), func(seed string) bool { return isOnHost(seed, host) })
+	}
+}
+
+// isOnHost reports whether an address, as HOST:PORT, is on a host.
+func isOnHost(addr, host string) bool {
+	addrHost, _, err := net.SplitHostPort(addr)
+	return err == nil && addrHost == host
+}
--- a/internal/fleet/controlplane/cluster_test.go
+++ b/internal/fleet/controlplane/cluster_test.go
@@ -242,7 +242,7 @@
 		defer close(done)
 		defer pool.Close()
 		var serving sync.WaitGroup
-		serving.Go(func() { _ = rpc.Serve(ctx, listener, table) })
+		serving.Go(func() { _ = rpc.Serve(ctx, listener, table, rpc.ServerOptions{}) })
 		_ = member.Run(ctx)
 		serving.Wait()
 	}()
--- a/internal/fleet/daemon/control.go
+++ b/internal/fleet/daemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/assembly"
 	"chalkdoor.example/chalkdoor/internal/fleet/balancer"
@@ -57,12 +58,19 @@
 	case "quotas":
 		return c.daemon.quotaReport(), nil
 	case "figures":
-		return c.daemon.gateway.Counters.Values(), nil
+		return c.figures(), nil
 	default:
 		return c.status(&report), nil
 	}
 }
 
+// figures returns the counts of requests, and of what other agents' calls take.
+func (c *controlBackend) figures() map[string]int64 {
+	figures := c.daemon.gateway.Counters.Values()
+	maps.Copy(figures, c.daemon.peerStats.Values())
+	return figures
+}
+
 // status returns the state of this process.
 func (c *controlBackend) status(report *relay.Report) statusReport {
 	nodeSettings := c.daemon.settings.Load()
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -59,6 +59,7 @@
 	settingsPath  string
 	settings      atomic.Pointer[settings.Settings]
 	peerPool      *rpc.Pool
+	peerStats     rpc.ServerStats // of the server of other agents' calls
 	core          *controlplane.Member
 	relay         *relay.Node
 	gateway       *gateway.Gateway
--- a/internal/fleet/daemon/run.go
+++ b/internal/fleet/daemon/run.go
@@ -87,7 +87,7 @@
 		d.quotaBroker.RegisterHandlers(handlers)
 		d.quotaClient.RegisterHandlers(handlers)
 	}
-	group.start("peers", func() error { return rpc.Serve(ctx, sockets.peers, handlers) })
+	group.start("peers", func() error { return rpc.Serve(ctx, sockets.peers, handlers, d.peerServerOptions()) })
 	if d.quotaBroker != nil {
 		group.start("quotas", func() error { return d.quotaBroker.Run(ctx) })
 	}
@@ -104,6 +104,15 @@
 	}
 }
 
+// peerServerOptions returns the options of the server of the calls of other agents.
+func (d *Daemon) peerServerOptions() rpc.ServerOptions {
+	return rpc.ServerOptions{
+		MemoryBytes: d.settings.Load().Limits.MemoryMB * bytesPerMB,
+		IsPriority:  assembly.IsPriorityCaller(assembly.RelayCore{Member: d.core}.Members, d.seedAddrs),
+		Stats:       &d.peerStats,
+	}
+}
+
 // abort stops the gateway and cancels all requests in flight. It is called when a component has failed.
 func (d *Daemon) abort(ctx context.Context) {
 	canceledCtx, cancel := context.WithCancel(ctx)
--- a/internal/fleet/quota/broker_test.go
+++ b/internal/fleet/quota/broker_test.go
@@ -105,7 +105,7 @@
 	p.client.RegisterHandlers(table)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { _ = rpc.Serve(ctx, listener, table) })
+	running.Go(func() { _ = rpc.Serve(ctx, listener, table, rpc.ServerOptions{}) })
 	p.stop = sync.OnceFunc(func() {
 		cancel()
 		pool.Close()
--- a/internal/fleet/quota/gathering_test.go
+++ b/internal/fleet/quota/gathering_test.go
@@ -221,7 +221,7 @@
 	rpc.HandleUnary(table, name, handler)
 	ctx, cancel := context.WithCancel(context.Background())
 	var serving sync.WaitGroup
-	serving.Go(func() { _ = rpc.Serve(ctx, listener, table) })
+	serving.Go(func() { _ = rpc.Serve(ctx, listener, table, rpc.ServerOptions{}) })
 	t.Cleanup(func() {
 		cancel()
 		serving.Wait()
--- a/internal/fleet/relay/fanout_bench_test.go
+++ b/internal/fleet/relay/fanout_bench_test.go
@@ -65,7 +65,7 @@
 		return nil
 	})
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = rpc.Serve(b.Context(), ln, table) })
+	wg.Go(func() { _ = rpc.Serve(b.Context(), ln, table, rpc.ServerOptions{}) })
 	b.Cleanup(wg.Wait)
 	received := make(chan struct{}, readers)
 	for range readers {
--- a/internal/fleet/relay/overload_test.go
+++ b/internal/fleet/relay/overload_test.go
@@ -67,7 +67,9 @@
 		serving, stopServing := context.WithCancel(t.Context())
 		var server sync.WaitGroup
 		listener := network.Listen(memberAddr)
-		server.Go(func() { assert.NoError(t, rpc.Serve(serving, listener, handlers)) })
+		server.Go(func() {
+			assert.NoError(t, rpc.Serve(serving, listener, handlers, rpc.ServerOptions{MemoryBytes: overloadMemoryBytes}))
+		})
 
 		deltas, agents := fleetDeltas(overloadAgents+overloadMembers), make([]*Node, overloadAgents)
 		for i := range agents {
--- a/internal/fleet/relay/testcluster_test.go
+++ b/internal/fleet/relay/testcluster_test.go
@@ -172,7 +172,7 @@
 	table := rpc.NewMux()
 	a.node.RegisterHandlers(table)
 	var wg sync.WaitGroup
-	wg.Go(func() { assert.NoError(a.t, rpc.Serve(ctx, listener, table)) })
+	wg.Go(func() { assert.NoError(a.t, rpc.Serve(ctx, listener, table, rpc.ServerOptions{})) })
 	wg.Go(func() { assert.NoError(a.t, a.node.Run(ctx)) })
 	a.stop = sync.OnceFunc(func() {
 		cancel()
--- a/internal/fleet/rpc/bench_test.go
+++ b/internal/fleet/rpc/bench_test.go
@@ -32,7 +32,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = Serve(ctx, listener, mux) })
+	wg.Go(func() { _ = Serve(ctx, listener, mux, ServerOptions{}) })
 	b.Cleanup(func() { cancel(); wg.Wait() })
 	return listener.Addr().String()
 }
--- a/internal/fleet/rpc/helpers_test.go
+++ b/internal/fleet/rpc/helpers_test.go
@@ -50,7 +50,12 @@
 
 func startServer(t *testing.T, mux *Mux) *testServer {
 	t.Helper()
-	return startServerAt(t, mux, "127.0.0.1:0", Serve)
+	return startServerAt(t, mux, "127.0.0.1:0", serveSmall)
+}
+
+// serveSmall serves as a process with the smallest bounds, which these tests don't reach.
+func serveSmall(ctx context.Context, listener net.Listener, mux *Mux) error {
+	return Serve(ctx, listener, mux, ServerOptions{})
 }
 
 type serveFunc func(context.Context, net.Listener, *Mux) error
--- a/internal/fleet/rpc/mux.go
+++ b/internal/fleet/rpc/mux.go
@@ -10,16 +10,22 @@
 // Mux maps the names of calls to their handlers. All handlers have to be registered before Serve is
 // called with it. From then on it is safe for concurrent use.
 type Mux struct {
-	handlers map[string]func(stream drpc.Stream) error
+	calls map[string]registeredCall
+}
+
+// registeredCall is a call with its handler.
+type registeredCall struct {
+	handle  func(stream drpc.Stream) error
+	isShort bool // one request and one response
 }
 
 // NewMux returns a Mux without handlers.
-func NewMux() *Mux { return &Mux{handlers: map[string]func(drpc.Stream) error{}} }
+func NewMux() *Mux { return &Mux{calls: map[string]registeredCall{}} }
 
 // HandleUnary registers the handler of a call with one request and one response. The caller receives the
 // text of the handler's error. HandleUnary panics if the name is already registered.
 func HandleUnary[Request, Response any](mux *Mux, name string, handler func(context.Context, *Request) (*Response, error)) {
-	mux.register(name, func(stream drpc.Stream) error {
+	handle := func(stream drpc.Stream) error {
 		request := new(Request)
 		if err := stream.MsgRecv(request, msgpackEncoding{}); err != nil {
 			return err
@@ -29,27 +35,29 @@
 			return drpcerr.WithCode(err, codeFailed)
 		}
 		return stream.MsgSend(response, msgpackEncoding{})
-	})
+	}
+	mux.register(name, registeredCall{handle: handle, isShort: true})
 }
 
 // HandleStream registers the handler of a call on which both sides may send messages at any time. The
 // stream ends when the handler returns. HandleStream panics if the name is already registered.
 func HandleStream[Out, In any](mux *Mux, name string, handler func(*Stream[Out, In]) error) {
-	mux.register(name, func(stream drpc.Stream) error { return handler(&Stream[Out, In]{stream}) })
+	handle := func(stream drpc.Stream) error { return handler(&Stream[Out, In]{stream}) }
+	mux.register(name, registeredCall{handle: handle})
 }
 
-func (m *Mux) register(name string, handler func(drpc.Stream) error) {
-	if m.handlers[name] != nil {
+func (m *Mux) register(name string, call registeredCall) {
+	if m.calls[name].handle != nil {
 		panic("rpc: call registered twice: " + name)
 	}
-	m.handlers[name] = handler
+	m.calls[name] = call
 }
 
-// HandleRPC implements drpc.Handler.
-func (m *Mux) HandleRPC(stream drpc.Stream, name string) error {
-	handler := m.handlers[name]
-	if handler == nil {
-		return drpcerr.WithCode(ErrUnknownMethod, codeUnknownMethod)
+// call returns the call with the given name.
+func (m *Mux) call(name string) (registeredCall, error) {
+	call, known := m.calls[name]
+	if !known {
+		return call, drpcerr.WithCode(ErrUnknownMethod, codeUnknownMethod)
 	}
-	return handler(stream)
+	return call, nil
 }
--- a/internal/fleet/rpc/overload_test.go
+++ b/internal/fleet/rpc/overload_test.go
@@ -51,7 +51,9 @@
 		listener := network.Listen("server")
 		serving, stopServing := context.WithCancel(t.Context())
 		var server, callers sync.WaitGroup
-		server.Go(func() { assert.NoError(t, Serve(serving, listener, mux)) })
+		server.Go(func() {
+			assert.NoError(t, Serve(serving, listener, mux, ServerOptions{MemoryBytes: overloadMemoryBytes}))
+		})
 
 		before := heapsize.InUse()
 		calling, leave := context.WithTimeout(t.Context(), overloadDuration)
@@ -64,6 +66,7 @@
 			})
 		}
 		callers.Wait()
+		<-time.After(serverIdleTimeout) // virtual time frees stopped timers only when they are due
 		synctest.Wait()
 		held := float64(heapsize.InUse() - before)
 		close(released)
--- a/internal/fleet/rpc/pool_test.go
+++ b/internal/fleet/rpc/pool_test.go
@@ -82,7 +82,7 @@
 	_, _, err = OpenStream[testRequest, testResponse](timeoutContext(t, 10*time.Second), server.address, "echo")
 	require.Error(t, err)
 	assert.Empty(t, pool.idle)
-	startServerAt(t, testMux(nil), server.address, Serve)
+	startServerAt(t, testMux(nil), server.address, serveSmall)
 	assert.NoError(t, call())
 }
 
--- a/internal/fleet/rpc/receivedbytes.go
+++ b/internal/fleet/rpc/receivedbytes.go
@@ -11,6 +11,7 @@
 // long message is complete.
 type countingConn struct {
 	net.Conn
+	priority bool // whether a priority caller opened it; set before it is served
 	received atomic.Uint64
 }
 
@@ -23,18 +24,6 @@
 	return n, err
 }
 
-// countingListener accepts connections as countingConns.
-type countingListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn}, nil
-}
-
 // Received returns how many bytes the stream's connection has received so far, including those of a
 // message that is not complete yet. It may be called by any goroutine.
 func (s *Stream[Out, In]) Received() uint64 {
--- a/internal/fleet/rpc/rpc.go
+++ b/internal/fleet/rpc/rpc.go
@@ -39,13 +39,12 @@
 	writeBufferBytes = 4 << 10
 	// maxRetainedBuffer bounds the message buffer that a stream retains for the next message.
 	maxRetainedBuffer = 64 << 10
-	// maxConnections bounds the connections that are served at once; further ones wait.
-	maxConnections = 2048
 )
 
 // The codes of errors that handlers return. An error with a code leaves its connection usable.
 const (
 	codeFailed        = 1
+	codeBusy          = 2
 	codeUnknownMethod = drpcerr.Unimplemented
 )
 
--- a/internal/fleet/rpc/rpc_test.go
+++ b/internal/fleet/rpc/rpc_test.go
@@ -41,7 +41,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	listener.Close()
-	err = Serve(timeoutContext(t, 10*time.Second), listener, NewMux())
+	err = Serve(timeoutContext(t, 10*time.Second), listener, NewMux(), ServerOptions{})
 	require.Error(t, err)
 	assert.Contains(t, err.Error(), "serve calls of other agents")
 }
@@ -49,7 +49,7 @@
 // Bytes that are not a call end only their own connection.
 func TestRandomBytes(t *testing.T) {
 	server := startServerAt(t, testMux(nil), "127.0.0.1:0", func(ctx context.Context, listener net.Listener, mux *Mux) error {
-		return serve(ctx, listener, mux, 50*time.Millisecond)
+		return serve(ctx, listener, mux, ServerOptions{}, 50*time.Millisecond)
 	})
 	pool := newTestPool(t)
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/internal/testbed/controlsim/process.go
+++ b/internal/testbed/controlsim/process.go
@@ -87,7 +87,7 @@
 func (p *process) serve(ctx context.Context, listener, control *listener, mux *rpc.Mux) {
 	defer close(p.done)
 	var components sync.WaitGroup
-	components.Go(func() { _ = rpc.Serve(ctx, listener, mux) })
+	components.Go(func() { _ = rpc.Serve(ctx, listener, mux, p.serverOptions()) })
 	components.Go(func() { _ = p.control.Serve(ctx, control) })
 	components.Go(func() { _ = p.core.Run(ctx) })
 	components.Go(func() { _ = p.relay.Run(ctx) })
@@ -100,6 +100,12 @@
 	components.Wait()
 }
 
+// serverOptions returns the options of a process on a machine with little memory.
+func (p *process) serverOptions() rpc.ServerOptions {
+	members := assembly.RelayCore{Member: p.core}.Members
+	return rpc.ServerOptions{IsPriority: assembly.IsPriorityCaller(members, p.machine.seedAddrs)}
+}
+
 func applyUpdate(current []byte, update *chain.Update) ([]byte, int64, error) {
 	return config.Apply(current, update.Patch, update.Body)
 }
