Start few sessions of a relay at once, and tell the other agents when to come back

Agents leave a relay that answers no hello within a second, and dial again. A member of the core that was held up kept 41 KB for each that had left, 110 MB after 9 s with 294 agents, and began sessions with agents that were gone. Change: twelve sessions start at once (hello and first update), 64 wait, for half of helloTimeout at most; the hello is decoded when the session may start. Others get RetryAfterMs, spread at random over 0.25 to 1 s. Machines of the core don't wait. A session does not begin if its caller has left. Sessions in all are bounded by the memory limit, four for each MB (408 at 102 MB, 1,024 at most), in place of 1,024.

--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -170,6 +170,7 @@
 		OnAttached:        d.recovery.coreReachable,
 		OnNotice:          d.gateway.ObserveRemotePrefill,
 		LinkMbps:          nodeSettings.Limits.LinkMbps,
+		MemoryBytes:       nodeSettings.Limits.MemoryMB * bytesPerMB,
 	}
 	if confirmsConfig(nodeSettings) {
 		options.ConfirmConfig = d.core.Confirm
--- a/internal/fleet/relay/dial.go
+++ b/internal/fleet/relay/dial.go
@@ -111,7 +111,7 @@
 		return
 	}
 	logevent.SessionStarted.Log("peer", addr)
-	err = n.runSession(ctx, st, firstMessage.Hello, addr, ownHello, firstMessage)
+	err = n.runSession(ctx, st, firstMessage.Hello, addr, ownHello, firstMessage, func() {})
 	logevent.SessionEnded.Log("peer", addr, "err", err)
 }
 
--- a/internal/fleet/relay/incarnation_test.go
+++ b/internal/fleet/relay/incarnation_test.go
@@ -70,8 +70,8 @@
 	agent.mu.Lock()
 	agent.startIncarnationLocked()
 	agent.mu.Unlock()
-	require.Error(t, agent.runSession(t.Context(), nil, &hello{Source: "h/1", Addr: "h"}, "h", earlierHello, &message{}))
-	require.Error(t, agent.runSession(t.Context(), nil, &hello{Source: agent.source(), Addr: "h"}, "h", nil, nil), "a session with itself is rejected, too")
+	require.Error(t, agent.runSession(t.Context(), nil, &hello{Source: "h/1", Addr: "h"}, "h", earlierHello, &message{}, func() {}))
+	require.Error(t, agent.runSession(t.Context(), nil, &hello{Source: agent.source(), Addr: "h"}, "h", nil, nil, func() {}), "a session with itself is rejected, too")
 	assert.Empty(t, agent.sessions)
 }
 
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -86,6 +86,8 @@
 	// acknowledged, as a majority confirmed after the call began. Only members of the core call it.
 	// If it is nil, this node sends no questions on the freshness of its configuration and answers none.
 	ConfirmConfig func(context.Context) (seq uint64, err error)
+	// MemoryBytes is the memory limit of the process, from which the bound of sessions is derived.
+	MemoryBytes int64
 	// Dialer opens the connections of sessions; nil means TCP.
 	Dialer rpc.Dialer
 }
@@ -95,6 +97,7 @@
 type Node struct {
 	options   Options
 	startTime time.Time
+	admission *sessionAdmission // safe for concurrent use
 
 	mu            sync.Mutex // guards all fields below, and the sessions
 	items         *deltasync.Store
@@ -133,6 +136,7 @@
 	n := &Node{
 		options:                options,
 		startTime:              time.Now(),
+		admission:              newSessionAdmission(options.MemoryBytes),
 		changeLog:              eventlog.New[deltasync.Change](changeLogSize),
 		members:                map[string]Member{},
 		leases:                 newLeaseManager(),
--- a/internal/fleet/relay/overload_test.go
+++ b/internal/fleet/relay/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"runtime"
 	"sync"
 	"testing"
@@ -39,6 +40,15 @@
 	released chan struct{}
 }
 
+// release lets the member's goroutines go on. It may be called more than once.
+func (c *heldUpCore) release() {
+	select {
+	case <-c.released:
+	default:
+		close(c.released)
+	}
+}
+
 // IsMember implements Core.
 func (c *heldUpCore) IsMember() bool {
 	<-c.released
@@ -54,29 +64,67 @@
 	return deltas
 }
 
-// A member that answers no hello in time holds nothing for the callers that have left meanwhile: they dial again,
-// and what it still does for nobody delays the next ones and fills its memory.
-func TestHeldUpMemberHoldsNothingForCallersThatHaveLeft(t *testing.T) {
+// overloadedMember is the only member of a core, in virtual time. Its handlers are held up until it is released.
+type overloadedMember struct {
+	*Node
+	core     *heldUpCore
+	network  pipenetwork.Network
+	priority bool // whether new connections are those of priority callers
+}
+
+const overloadedAddr = "10.1.0.1:7300"
+
+// withOverloadedMember runs a test in virtual time with a member that is held up.
+func withOverloadedMember(t *testing.T, test func(*testing.T, *overloadedMember)) {
 	synctest.Test(t, func(t *testing.T) {
-		const memberAddr = "10.1.0.1:7300"
-		network, members := pipenetwork.Network{}, []Peer{{Addr: memberAddr, Zone: "zone-a"}}
-		core := &heldUpCore{newFakeCore(true, true, members...), make(chan struct{})}
-		member := New(Options{Self: Member{Name: "member", Addr: memberAddr, Zone: "zone-a"}, HeartbeatInterval: time.Second, Core: core, Dialer: network, OnChange: func(*Snapshot) {}})
+		core := &heldUpCore{newFakeCore(true, true, Peer{Addr: overloadedAddr, Zone: "zone-a"}), make(chan struct{})}
+		member := &overloadedMember{core: core, network: pipenetwork.Network{}}
+		member.Node = New(Options{Self: Member{Name: "member", Addr: overloadedAddr, Zone: "zone-a"}, HeartbeatInterval: time.Second,
+			Core: core, Dialer: member.network, OnChange: func(*Snapshot) {}, MemoryBytes: overloadMemoryBytes})
 		handlers := rpc.NewMux()
 		member.RegisterHandlers(handlers)
 		serving, stopServing := context.WithCancel(t.Context())
 		var server sync.WaitGroup
-		listener := network.Listen(memberAddr)
+		listener := member.network.Listen(overloadedAddr)
 		server.Go(func() {
-			assert.NoError(t, rpc.Serve(serving, listener, handlers, rpc.ServerOptions{MemoryBytes: overloadMemoryBytes}))
+			assert.NoError(t, rpc.Serve(serving, listener, handlers, rpc.ServerOptions{MemoryBytes: overloadMemoryBytes,
+				IsPriority: func(net.Addr) bool { return member.priority }}))
 		})
+		test(t, member)
+		core.release()
+		stopServing()
+		server.Wait()
+		assert.Empty(t, member.admission.slots, "all slots are given back")
+	})
+}
 
-		deltas, agents := fleetDeltas(overloadAgents+overloadMembers), make([]*Node, overloadAgents)
-		for i := range agents {
-			agents[i] = New(Options{Self: *benchMember(i), HeartbeatInterval: time.Second, Core: newFakeCore(false, false, members...),
-				SeedAddrs: func() []string { return []string{memberAddr} }, Dialer: network, OnChange: func(*Snapshot) {}})
-			agents[i].items.Apply(deltas)
-		}
+// newAgents returns agents that know all sources of the fleet.
+func (m *overloadedMember) newAgents(count int) []*Node {
+	deltas, agents := fleetDeltas(overloadAgents+overloadMembers), make([]*Node, count)
+	for i := range agents {
+		agents[i] = New(Options{Self: *benchMember(i), HeartbeatInterval: time.Second, Core: newFakeCore(false, false, m.core.Members()...),
+			SeedAddrs: func() []string { return []string{overloadedAddr} }, Dialer: m.network, OnChange: func(*Snapshot) {}})
+		agents[i].items.Apply(deltas)
+	}
+	return agents
+}
+
+// openSession sends a hello to the member.
+func (m *overloadedMember) openSession(t *testing.T, name string) *stream {
+	st, hangUp, err := rpc.OpenStreamWithDialer[message, message](t.Context(), m.network, overloadedAddr, sessionCall)
+	require.NoError(t, err)
+	t.Cleanup(hangUp)
+	sent := make(chan error, 1)
+	go func() { sent <- st.Send(&message{Hello: &hello{Source: name + "/1", Addr: name}}) }()
+	synctest.Wait()
+	return st
+}
+
+// A member that answers no hello in time holds nothing for the callers that have left meanwhile: they dial again,
+// and what it still does for nobody delays the next ones and fills its memory.
+func TestHeldUpMemberHoldsNothingForCallersThatHaveLeft(t *testing.T) {
+	withOverloadedMember(t, func(t *testing.T, member *overloadedMember) {
+		agents := member.newAgents(overloadAgents)
 		before := heapsize.InUse()
 		calling, leave := context.WithTimeout(t.Context(), overloadDuration)
 		defer leave()
@@ -85,16 +133,64 @@
 			callers.Go(func() { agent.dialLoop(calling) })
 		}
 		callers.Wait()
+		<-time.After(time.Minute) // virtual time frees stopped timers only when they are due
 		synctest.Wait()
 		held := float64(heapsize.InUse() - before)
 		runtime.KeepAlive(agents)
-		close(core.released)
-		stopServing()
-		server.Wait()
 		assert.Less(t, held, abandonedShare*overloadMemoryBytes, "bytes held for callers that have left")
 	})
 }
 
+// Only a few sessions start at once, and few wait. Others are told at once when to come back, and those that wait
+// are told after maxSyncWait. A member of the core neither waits nor is refused.
+func TestOnlyAFewSessionsStartAtOnce(t *testing.T) {
+	withOverloadedMember(t, func(t *testing.T, member *overloadedMember) {
+		assertRefused := func(st *stream, after time.Duration, why string) {
+			begin := time.Now()
+			answer, err := st.Recv()
+			require.NoError(t, err, why)
+			assert.Equal(t, after, time.Since(begin), why)
+			retryAfter := time.Duration(answer.RetryAfterMs) * time.Millisecond
+			assert.GreaterOrEqual(t, retryAfter, minRetryAfter, why)
+			assert.Less(t, retryAfter, minRetryAfter+retryAfterSpread, why)
+		}
+		for i := range maxInitialSyncs {
+			member.openSession(t, fmt.Sprint("starting-", i))
+		}
+		waiting := make([]*stream, maxWaitingSyncs)
+		for i := range waiting {
+			waiting[i] = member.openSession(t, fmt.Sprint("waiting-", i))
+		}
+		assert.Len(t, member.admission.slots, maxInitialSyncs)
+		assert.EqualValues(t, maxWaitingSyncs, member.admission.waiting.Load())
+		assertRefused(member.openSession(t, "late"), 0, "too many wait")
+		assertRefused(waiting[0], maxSyncWait, "it waited for too long")
+		member.priority = true
+		privileged := member.openSession(t, "core")
+		member.core.release()
+		answer, err := privileged.Recv()
+		require.NoError(t, err)
+		assert.NotNil(t, answer.Hello)
+	})
+}
+
+// All agents of a large fleet that dial its only member at once have a session with it soon.
+func TestReturnOfAllAgentsToOneMember(t *testing.T) {
+	withOverloadedMember(t, func(t *testing.T, member *overloadedMember) {
+		member.core.release()
+		running, stop := context.WithTimeout(t.Context(), 3*time.Second)
+		defer stop()
+		var agents sync.WaitGroup
+		for _, agent := range member.newAgents(overloadAgents) {
+			agents.Go(func() { agent.dialLoop(running) })
+		}
+		<-time.After(2 * time.Second)
+		synctest.Wait()
+		assert.Len(t, member.Report().Sessions, overloadAgents)
+		agents.Wait()
+	})
+}
+
 // The notices that wait at a member to be sent are bounded over all sessions together.
 func TestPendingNoticesOfAllSessionsAreBoundedTogether(t *testing.T) {
 	member := newManualNode("h", true, Peer{Addr: "addr of h"})
--- a/internal/fleet/relay/peer_test.go
+++ b/internal/fleet/relay/peer_test.go
@@ -132,7 +132,7 @@
 	relay := cluster.coreMembers[0]
 	relay.node.mu.Lock()
 	var filling []*session
-	for len(relay.node.sessions) < maxSessions {
+	for len(relay.node.sessions) < relay.node.admission.maxSessions {
 		peer := newSession(relay.node.now()+time.Hour, &hello{Source: "x/1"}, "", func() uint64 { return 0 }, func() {})
 		relay.node.sessions[peer] = true
 		filling = append(filling, peer)
@@ -142,7 +142,7 @@
 	require.NoError(t, st.Send(&message{Hello: &hello{Source: "y/1", Addr: "y:1"}}))
 	require.True(t, isRefused(st))
 	relay.node.mu.Lock()
-	assert.Len(t, relay.node.sessions, maxSessions)
+	assert.Len(t, relay.node.sessions, relay.node.admission.maxSessions)
 	delete(relay.node.sessions, filling[0])
 	relay.node.mu.Unlock()
 	st = relay.openSession()
--- a/internal/fleet/relay/send.go
+++ b/internal/fleet/relay/send.go
@@ -43,9 +43,9 @@
 }
 
 // sendLoop sends what the peer lacks whenever something changes, and heartbeats in between, until ctx ends
-// or sending fails. The first message has everything that the peer lacks. The side that accepted the session
-// sends its hello before it.
-func (n *Node) sendLoop(ctx context.Context, st *stream, s *session) error {
+// or sending fails. The first message has everything that the peer lacks; synced is called once it was sent. The
+// side that accepted the session sends its hello before it.
+func (n *Node) sendLoop(ctx context.Context, st *stream, s *session, synced func()) error {
 	if !s.outbound {
 		if err := n.sendHello(st); err != nil {
 			return err
@@ -59,6 +59,7 @@
 		if err != nil {
 			return err
 		}
+		synced()
 		if err := out.wait(ctx, changed, ticker.C); err != nil || ctx.Err() != nil {
 			return err
 		}
--- a/internal/fleet/relay/serve.go
+++ b/internal/fleet/relay/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +20,13 @@
 	errTooManySessions = errors.New("too many sessions at this relay: use another")
 )
 
-// serveSession serves a session that a peer dialed.
+// serveSession serves a session that a peer dialed. The hello is decoded only once the session may start.
 func (n *Node) serveSession(st *stream) error {
+	synced, admitted := n.admission.awaitSlot(st)
+	if !admitted {
+		return n.admission.refuse(st)
+	}
+	defer synced()
 	timeout := time.AfterFunc(helloTimeout, func() { _ = st.Close() })
 	firstMessage, err := st.Recv()
 	timeout.Stop()
@@ -33,13 +39,16 @@
 	if !n.options.Core.IsMember() {
 		return st.Send(&message{Redirect: n.knownCoreMembers()})
 	}
-	return n.runSession(st.Context(), st, firstMessage.Hello, firstMessage.Hello.Addr, nil, nil)
+	if err := st.Context().Err(); err != nil {
+		return errors.Wrap(err, "peer left before its session began")
+	}
+	return n.runSession(st.Context(), st, firstMessage.Hello, firstMessage.Hello.Addr, nil, nil, synced)
 }
 
 // runSession runs a session until its stream or ctx ends, and returns the reason. If this node dialed the
 // peer, ownHello is this node's hello and firstMessage is the message that carried the peer's hello;
-// otherwise both are nil.
-func (n *Node) runSession(ctx context.Context, st *stream, peerHello *hello, peerAddr string, ownHello *hello, firstMessage *message) error {
+// otherwise both are nil. synced is called once the first update was sent.
+func (n *Node) runSession(ctx context.Context, st *stream, peerHello *hello, peerAddr string, ownHello *hello, firstMessage *message, synced func()) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s, err := n.addSession(st, peerHello, peerAddr, ownHello, cancel)
@@ -57,7 +66,7 @@
 	})
 	wg.Go(func() {
 		defer cancel()
-		if err := n.sendLoop(ctx, st, s); err != nil && ctx.Err() == nil {
+		if err := n.sendLoop(ctx, st, s, synced); err != nil && ctx.Err() == nil {
 			logevent.SessionSendFailed.Log("peer", peerAddr, "err", err)
 		}
 	})
@@ -75,7 +84,7 @@
 		return nil, errSelfSession
 	case ownHello != nil && ownHello.Source != n.items.OwnSource():
 		return nil, errEarlierSession
-	case len(n.sessions) >= maxSessions:
+	case len(n.sessions) >= n.admission.maxSessions && !containsAddr(members, peerHello.Addr):
 		return nil, errTooManySessions
 	}
 	if n.items.Ended(peerHello.Source) {
@@ -90,6 +99,11 @@
 	return s, nil
 }
 
+// containsAddr reports whether one of the peers has an address.
+func containsAddr(peers []Peer, addr string) bool {
+	return slices.ContainsFunc(peers, func(peer Peer) bool { return peer.Addr == addr })
+}
+
 // removeSession removes a session that has ended.
 func (n *Node) removeSession(s *session) {
 	n.mu.Lock()
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -16,8 +16,6 @@
 	// messageTimeout bounds the time for one message, even if its bytes arrive steadily. The longest
 	// message that rpc accepts, 16 MB, takes 26 s at 640 KB/s.
 	messageTimeout = 30 * time.Second
-	// maxSessions bounds the sessions of a process.
-	maxSessions = 1024
 	// timerUnset is the initial duration of a timer that is reset before it is needed.
 	timerUnset = time.Hour
 )
--- a/internal/fleet/rpc/stream.go
+++ b/internal/fleet/rpc/stream.go
@@ -45,6 +45,9 @@
 	return message, decodeError(s.stream.MsgRecv(message, msgpackEncoding{}))
 }
 
+// IsPriority reports whether a priority caller of the server opened the stream, see ServerOptions.
+func (s *Stream[Out, In]) IsPriority() bool { return isPriorityCall(s.stream.Context()) }
+
 // Context returns a context that ends with the stream.
 func (s *Stream[Out, In]) Context() context.Context { return s.stream.Context() }
 
