Send agents fewer updates the more of them a relay has

After a return of all processes changes follow each other without a pause, and each agent gets an update each 25 ms: 2,000 a second at 50 sessions, 11,800 at 294, whatever the relay's share of a core. Change: a relay collects changes for an agent over 1 ms for each of its sessions, from 25 ms to 250 ms, so it sends at most 1,000 updates a second up to 250 sessions. Members of the core still send each other changes after 25 ms. A change after a quiet period goes at once as before.

--- a/internal/fleet/relay/send.go
+++ b/internal/fleet/relay/send.go
@@ -5,11 +5,18 @@
 	"time"
 )
 
-// coalesceInterval is the minimum time between two updates that changes cause on one session. While
+// The coalescing interval is the minimum time between two updates that changes cause on one session. While
 // changes follow each other closely, as after a start of all processes, one update carries all changes
 // of such an interval. A change after a quiet period is sent at once. Without this bound each change
 // would cost an update to every agent, and a relay would do little else.
-const coalesceInterval = 25 * time.Millisecond
+const (
+	// minCoalesceInterval is the interval between members of the core, and at an agent.
+	minCoalesceInterval = 25 * time.Millisecond
+	// coalesceIntervalPerSession times the number of a relay's sessions is its interval to agents, but at most
+	// maxCoalesceInterval, so that a relay sends no more updates a second in all however many agents it has.
+	coalesceIntervalPerSession = time.Millisecond
+	maxCoalesceInterval        = 250 * time.Millisecond
+)
 
 // status is what a message reports about its sender, apart from the deltas.
 type status struct {
@@ -37,6 +44,8 @@
 	lastStatus   status
 	heartbeatDue bool
 	lastUpdate   time.Time // when the latest update was sent
+	// coalesceInterval is the minimum time from the latest update to one that a change causes.
+	coalesceInterval time.Duration
 	// answered is set once a freshness question was answered. The first answer is sent at once, later
 	// ones with the next heartbeat.
 	answered bool
@@ -108,6 +117,7 @@
 	members := n.options.Core.Members()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	out.coalesceInterval = n.sessions.coalesceInterval(s)
 	update.Deltas = n.items.DeltasSince(s.sentVersions)
 	for _, delta := range update.Deltas {
 		s.sentVersions[delta.Source] = delta.To
@@ -137,7 +147,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-changed:
-			remaining := coalesceInterval - time.Since(out.lastUpdate)
+			remaining := out.coalesceInterval - time.Since(out.lastUpdate)
 			if remaining <= 0 {
 				return nil
 			}
@@ -168,3 +178,11 @@
 	}
 	return out.stream.Send(m)
 }
+
+// coalesceInterval returns the minimum time between two updates that changes cause on a session.
+func (set sessionSet) coalesceInterval(s *session) time.Duration {
+	if s.peerIsCore {
+		return minCoalesceInterval
+	}
+	return min(max(time.Duration(len(set))*coalesceIntervalPerSession, minCoalesceInterval), maxCoalesceInterval)
+}
