Back off with jitter while relays do not answer the dials of agents

Cause: an agent without a session dialed another relay each 150 ms, whatever had become of the dials before. While hellos take longer than a second, each agent has six dials under way, 5 a second, and all agents of a start dial in the same moment.

Change: each dial schedules the next one, 150 ms doubling to 2.4 s, with a jitter of half of it. A relay that refuses with RetryAfterMs isn't dialed until then, and another one is tried soon. After a refused or unanswered connect, a redirect or a hello the next dial may follow at the short interval, as none of them is a sign of a busy relay. The first update of a relay with a quorum resets all. Members of the core dial each other as before.

--- a/internal/fleet/relay/dial.go
+++ b/internal/fleet/relay/dial.go
@@ -40,34 +40,76 @@
 	delete(d.addrs, addr)
 }
 
-// dialLoop dials the peers that dialTargets returns and runs the sessions with them, until ctx ends.
+// dialLoop dials the peers that dialTargets returns and runs the sessions with them, until ctx ends. Members of
+// the core dial each other without backoff, as agreement needs their sessions and they are few.
 func (n *Node) dialLoop(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	dialed := &dialedAddrs{addrs: map[string]bool{}}
+	backoff := &redialBackoff{}
 	attempt := 0
 	for ctx.Err() == nil {
-		targets := n.dialTargets(attempt)
-		for _, addr := range targets {
-			if !dialed.begin(addr) {
-				continue
-			}
-			wg.Go(func() {
-				defer dialed.end(addr)
-				n.dialSession(ctx, addr)
-			})
+		if n.hasUpdatedRelay() {
+			backoff.reset()
 		}
-		attempt++
-		if len(targets) == 0 {
-			attempt = 0
+		pause, isDue := n.redialPause(), true
+		if !n.options.Core.IsMember() {
+			var remaining time.Duration
+			remaining, isDue = backoff.due(time.Now())
+			pause = untilNextDial(pause, remaining)
+		}
+		if isDue {
+			attempt = n.dialDueTargets(ctx, &wg, dialed, backoff, attempt)
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(n.redialPause()):
+		case <-time.After(pause):
 		}
 	}
 }
 
+// untilNextDial returns the pause before the next check for peers to dial: pause, or remaining if the next
+// attempt is due before.
+func untilNextDial(pause, remaining time.Duration) time.Duration {
+	if remaining > 0 {
+		return min(pause, remaining)
+	}
+	return pause
+}
+
+// dialDueTargets starts an attempt for each peer that dialTargets returns, except for relays that are busy, and
+// returns the number of the next attempt.
+func (n *Node) dialDueTargets(ctx context.Context, wg *sync.WaitGroup, dialed *dialedAddrs, backoff *redialBackoff, attempt int) (nextAttempt int) {
+	targets := n.dialTargets(attempt)
+	for _, addr := range targets {
+		now := time.Now()
+		if backoff.isBusy(addr, now) || !dialed.begin(addr) {
+			continue
+		}
+		backoff.began(now)
+		wg.Go(func() {
+			defer dialed.end(addr)
+			n.dialSession(ctx, addr, backoff)
+		})
+	}
+	if len(targets) == 0 {
+		return 0
+	}
+	return attempt + 1
+}
+
+// hasUpdatedRelay reports whether a relay with a quorum that this node dialed has sent its first update.
+func (n *Node) hasUpdatedRelay() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for s := range n.sessions {
+		if s.outbound && s.peerIsCore && s.peerHasQuorum && s.completenessKnown {
+			return true
+		}
+	}
+	return false
+}
+
 // redialPause returns the pause before the next check for peers to dial. It is short for a member of the core
 // that has just started: if the whole core has just started, no member becomes complete before these sessions
 // are established.
@@ -83,12 +125,13 @@
 
 // dialSession dials the agent at an address and runs a session with it until the session or ctx ends. Errors
 // before the session begins are not logged, as dialLoop tries again.
-func (n *Node) dialSession(ctx context.Context, addr string) {
+func (n *Node) dialSession(ctx context.Context, addr string, backoff *redialBackoff) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timeout := time.AfterFunc(helloTimeout, cancel)
 	st, hangUp, err := rpc.OpenStreamWithDialer[message, message](ctx, n.options.Dialer, addr, sessionCall)
 	if err != nil {
+		backoff.allowSoon(time.Now())
 		return
 	}
 	defer hangUp()
@@ -103,13 +146,19 @@
 	if err != nil || !timeout.Stop() {
 		return
 	}
+	if firstMessage.RetryAfterMs > 0 {
+		backoff.refused(addr, time.Duration(firstMessage.RetryAfterMs)*time.Millisecond, time.Now())
+		return
+	}
 	if firstMessage.Hello == nil {
+		backoff.allowSoon(time.Now())
 		n.recordRedirect(firstMessage.Redirect)
 		return
 	}
 	if firstMessage.Hello.validate() != nil {
 		return
 	}
+	backoff.allowSoon(time.Now())
 	logevent.SessionStarted.Log("peer", addr)
 	err = n.runSession(ctx, st, firstMessage.Hello, addr, ownHello, firstMessage)
 	logevent.SessionEnded.Log("peer", addr, "err", err)
