Ask for views seldom while a relay is reached, and back off while nobody answers

Cause: each agent asks for a newer view each 500 ms for ever, of the voters in turn and of up to four, one after the other, if they do not answer in 400 ms. A call that times out closes its connection, and the next one opens another.

Change: an agent that has a session with a relay with a quorum asks that relay only, each 1.5 to 2 s. Without one it asks as before, with a jitter, and while rounds time out it asks one process a round and doubles the interval up to 2 s. Refused connects, which cost the machines nothing, don't back off.

--- a/internal/fleet/assembly/assembly.go
+++ b/internal/fleet/assembly/assembly.go
@@ -80,3 +80,12 @@
 	}
 	return node.UnreachedAddrs()
 }
+
+// RelayAddr returns the address of the relay that an agent outside of the core has a session with; empty if there
+// is none that has a quorum, or if node is nil.
+func RelayAddr(node *relay.Node) string {
+	if node == nil {
+		return ""
+	}
+	return node.RelayAddr()
+}
--- a/internal/fleet/controlplane/options.go
+++ b/internal/fleet/controlplane/options.go
@@ -31,6 +31,9 @@
 	Seeds func() []string
 	// KnownAddresses are further addresses of voters; may be nil.
 	KnownAddresses func() []string
+	// RelayAddress returns the address of the member of the core that this process, which is none itself, has a
+	// session with, if that member has a quorum; empty if there is none. May be nil.
+	RelayAddress func() string
 	// UnreachedAddresses returns the addresses of processes that may not know any view. The learned view is sent
 	// to them. May be nil.
 	UnreachedAddresses func() []string
--- a/internal/fleet/controlplane/timing.go
+++ b/internal/fleet/controlplane/timing.go
@@ -96,6 +96,13 @@
 	retryDelay = 30 * time.Millisecond
 	// discoveryInterval is the time between two requests for a newer view.
 	discoveryInterval = 500 * time.Millisecond
+	// relayDiscoveryInterval replaces discoveryInterval while this process has a session with a relay that has a
+	// quorum.
+	relayDiscoveryInterval = 2 * time.Second
+	// maxDiscoveryInterval bounds the interval while requests time out.
+	maxDiscoveryInterval = 2 * time.Second
+	// maxDiscoveryHaste is the greatest share of an interval by which a request may be early.
+	maxDiscoveryHaste = 0.25
 	// startupPeriod is how long after its start or a pause a process discovers and announces views more
 	// often, as many others may have started at the same time.
 	startupPeriod = 3 * time.Second
--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -134,6 +134,7 @@
 		Seeds:              d.seedAddrs,
 		KnownAddresses:     func() []string { return assembly.KnownCoreAddrs(d.relay) },
 		UnreachedAddresses: func() []string { return assembly.UnreachedAddrs(d.relay) },
+		RelayAddress:       func() string { return assembly.RelayAddr(d.relay) },
 		Tolerance: view.Tolerance{
 			Machines: nodeSettings.Tolerance.Machines,
 			Zones:    nodeSettings.Tolerance.Zones,
--- a/internal/fleet/relay/upstream.go
+++ b/internal/fleet/relay/upstream.go
@@ -174,6 +174,22 @@
 	return len(order)
 }
 
+// RelayAddr returns the address of the relay that this agent prefers among those that it has a session with and
+// that have a quorum; empty if there is none, and on a member of the core.
+func (n *Node) RelayAddr() string {
+	members, isMember := n.options.Core.Members(), n.options.Core.IsMember()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if isMember {
+		return ""
+	}
+	preferred, _ := n.sessions.selectPreferred(preferenceOrder(&n.options.Self, members), n.now())
+	if preferred == nil {
+		return ""
+	}
+	return preferred.peerAddr
+}
+
 // PreferredMembers returns the addresses of the members of the core in this agent's order of preference:
 // members in its own zone come first. A hash orders each group, differently for each agent.
 func (n *Node) PreferredMembers() []string {
--- a/internal/testbed/controlsim/process.go
+++ b/internal/testbed/controlsim/process.go
@@ -48,6 +48,7 @@
 		Seeds:              m.seedAddrs,
 		KnownAddresses:     func() []string { return assembly.KnownCoreAddrs(p.relay) },
 		UnreachedAddresses: func() []string { return assembly.UnreachedAddrs(p.relay) },
+		RelayAddress:       func() string { return assembly.RelayAddr(p.relay) },
 		Tolerance:          m.sim.scenario.tolerance(), Counted: m.media != nil, Pool: p.pool, Transition: applyUpdate,
 		OnCommit: func(v chain.Value) { p.relay.ApplyConfig(v.Seq, v.Body) },
 		OnView:   func(v view.View) { m.sim.checker.viewLearned(p, v) }}
