Begin no further connect of a dial that this process was too busy to look at

Cause: a dial that has no result after 100 ms begins another connect, as the SYN may be lost. In a process without processor the kernel has the connection long before the goroutine sees it, and the timer is seen first. The peer accepts the loser and has to drop it.

Change: a hedge that is more than 20 ms late is put off by another 100 ms. Hedges in time are as before: while the machine answers nothing they leave nothing to accept.

Result: a unit test of the schedule; the effect at 300 machines isn't measured yet.

--- a/internal/fleet/rpc/dialer.go
+++ b/internal/fleet/rpc/dialer.go
@@ -45,6 +45,17 @@
 	err  error
 }
 
+// hedgeSchedule decides when another connect of a dial begins.
+type hedgeSchedule struct{ next time.Time }
+
+// due is called when the time for another connect has come, at now, and reports whether to begin it. It does not
+// begin when it is called late: this process has had no processor, and its connects may have succeeded unnoticed.
+func (h *hedgeSchedule) due(now time.Time) bool {
+	inTime := now.Sub(h.next) <= maxHedgeLateness
+	h.next = now.Add(connectHedgeDelay)
+	return inTime
+}
+
 // dialHedged connects, and starts another connect after each connectHedgeDelay without a result: a SYN to
 // a machine that is just starting is lost, and the kernel retransmits it only after a second. It returns
 // the first result, or an error after connectTimeout.
@@ -65,14 +76,18 @@
 		}()
 	}
 	start()
-	hedge := time.NewTicker(connectHedgeDelay)
+	schedule := hedgeSchedule{time.Now().Add(connectHedgeDelay)}
+	hedge := time.NewTimer(connectHedgeDelay)
 	defer hedge.Stop()
 	for {
 		select {
 		case first := <-results:
 			return first.conn, first.err
 		case <-hedge.C:
-			start()
+			if schedule.due(time.Now()) {
+				start()
+			}
+			hedge.Reset(connectHedgeDelay)
 		case <-ctx.Done():
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
 		}
--- a/internal/fleet/rpc/dialer_test.go
+++ b/internal/fleet/rpc/dialer_test.go
@@ -87,3 +87,13 @@
 		require.LessOrEqual(t, connects.Load(), int64(connectTimeout/connectHedgeDelay)+1)
 	})
 }
+
+// A process that had no processor when a hedge was due waits once more, as its connect may have succeeded.
+func TestLateHedgeIsPutOff(t *testing.T) {
+	begin := time.Now()
+	schedule := hedgeSchedule{begin}
+	require.True(t, schedule.due(begin.Add(maxHedgeLateness)))
+	late := begin.Add(maxHedgeLateness + connectHedgeDelay + maxHedgeLateness + 1)
+	require.False(t, schedule.due(late))
+	require.True(t, schedule.due(late.Add(connectHedgeDelay)))
+}
--- a/internal/fleet/rpc/rpc.go
+++ b/internal/fleet/rpc/rpc.go
@@ -29,6 +29,8 @@
 	connectTimeout = 300 * time.Millisecond
 	// connectHedgeDelay is the time without a result after which another connect is started in parallel.
 	connectHedgeDelay = 100 * time.Millisecond
+	// maxHedgeLateness is how late a hedge may be: later ones show that this process is busy.
+	maxHedgeLateness = 20 * time.Millisecond
 	// maxIdlePerPeer bounds the idle connections to one peer.
 	maxIdlePerPeer = 4
 	// idleTimeout is how long a connection may be idle before it is no longer reused.
