Compute no majority for what agents outside of the core acknowledge

Cause: for each source of a hello's vector the majority was computed twice, and each time all sessions were passed over once for each member of the core, though only members of the core count for it. The cost grows with sources times sessions, and an agent that comes back has the vector of all sources.

Change: what an agent outside of the core has is recorded without that, and a majority takes one pass over the sessions.

--- a/internal/fleet/relay/quorum.go
+++ b/internal/fleet/relay/quorum.go
@@ -47,6 +47,10 @@
 	if version <= s.ackedVersions[source] {
 		return
 	}
+	if !s.peerIsCore { // it counts for no majority, and there are many such peers with large vectors
+		s.ackedVersions[source] = version
+		return
+	}
 	previousVersion := n.quorumVersionLocked(source, members)
 	s.ackedVersions[source] = version
 	if n.quorumVersionLocked(source, members) <= previousVersion {
@@ -78,15 +82,7 @@
 // quorumVersionLocked returns the newest version of a source that a majority of the core is known to have,
 // or 0 if no member of the core is known.
 func (n *Node) quorumVersionLocked(source string, members []Peer) uint64 {
-	versions := make([]uint64, 0, len(members))
-	for _, member := range members {
-		if member.Addr == n.options.Self.Addr {
-			versions = append(versions, n.items.Version(source))
-		} else {
-			versions = append(versions, n.sessions.acknowledgedBy(member.Addr, source))
-		}
-	}
-	return majorityVersion(versions)
+	return majorityVersion(n.sessions.memberVersions(members, source, n.options.Self.Addr, n.items.Version(source)))
 }
 
 // majorityVersion returns the newest version that more than half of the replicas have, given the version
--- a/internal/fleet/relay/quorum_test.go
+++ b/internal/fleet/relay/quorum_test.go
@@ -200,3 +200,37 @@
 	assert.True(t, agent.Deregister(t.Context(), "s"))
 	assert.True(t, agent.Heartbeat(t.Context(), drainingServer("s", 2)))
 }
+
+// The hello of an agent costs a relay the same however many sessions it has: it counts for no majority.
+func TestHelloOfAnAgentComputesNoMajority(t *testing.T) {
+	const sources, maxAllocations = 300, 100
+	var members []Peer
+	for i := range 6 {
+		members = append(members, Peer{Addr: fmt.Sprint("addr of h", i)})
+	}
+	relay, vector := newManualNode("h0", true, members...), deltasync.Vector{}
+	for i := range sources {
+		source := fmt.Sprintf("agent-%d/1", i)
+		relay.applyDeltas(initialDelta(source, memberKey, benchMember(i)))
+		vector[source] = 1
+	}
+	for i, member := range members[1:] {
+		relay.connect(member.Addr, fmt.Sprintf("h%d/1", i+1), true)
+	}
+	allocations := testing.AllocsPerRun(5, func() {
+		peer := relay.connect("addr of agent-1", "agent-1/1", false)
+		relay.mu.Lock()
+		defer relay.mu.Unlock()
+		for source, version := range vector {
+			relay.recordAcknowledgedLocked(peer, source, version, relay.core.Members())
+		}
+	})
+	assert.Less(t, allocations, float64(maxAllocations), "a majority takes an allocation for each of %d sources", sources)
+}
+
+// applyDeltas applies deltas as if a peer had sent them.
+func (n *manualNode) applyDeltas(deltas ...deltasync.Delta) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.applyDeltasLocked(deltas)
+}
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/deltasync"
@@ -174,16 +175,25 @@
 	}
 }
 
-// acknowledgedBy returns the newest version of a source that the core member at an address has
-// acknowledged, or 0 if it has acknowledged none.
-func (set sessionSet) acknowledgedBy(addr, source string) uint64 {
-	version := uint64(0)
+// memberVersions returns the newest version of a source that each member of the core is known to have, 0 if none
+// is: ownVersion for the one at selfAddr, and what the others have acknowledged. It passes over the sessions once,
+// as a relay may have hundreds.
+func (set sessionSet) memberVersions(members []Peer, source, selfAddr string, ownVersion uint64) []uint64 {
+	versions := make([]uint64, len(members))
 	for s := range set {
-		if s.peerIsCore && s.peerAddr == addr {
-			version = max(version, s.ackedVersions[source])
+		if !s.peerIsCore {
+			continue
+		}
+		if i := slices.IndexFunc(members, func(member Peer) bool { return member.Addr == s.peerAddr }); i >= 0 {
+			versions[i] = max(versions[i], s.ackedVersions[source])
+		}
+	}
+	for i, member := range members {
+		if member.Addr == selfAddr {
+			versions[i] = ownVersion
 		}
 	}
-	return version
+	return versions
 }
 
 // notifyQuorumAdvanced wakes the senders to the agent with the given source, because a majority now has a
