--- a/internal/fleet/assembly/assembly.go
+++ b/internal/fleet/assembly/assembly.go
@@ -107,3 +107,12 @@
 	addrHost, _, err := net.SplitHostPort(addr)
 	return err == nil && addrHost == host
 }
+
+// RelayAddr returns the address of the relay that an agent outside of the core has a session with; empty if there
+// is none that has a quorum, or if node is nil.
+func RelayAddr(node *relay.Node) string {
+	if node == nil {
+		return ""
+	}
+	return node.RelayAddr()
+}
