Log denied requests with the configuration that they were denied by

Neither a log line nor a counter told which status was given, by which revision, and whether that revision may have been out of date. E322 does, at most once a second in each process. No answer changes.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/balancer"
 	"chalkdoor.example/chalkdoor/internal/fleet/config"
@@ -45,6 +46,8 @@
 	becameServable chan struct{} // closed once requests can be served
 	servableOnce   sync.Once     // closes becameServable
 
+	deniedLog rate.Sometimes // limits logevent.RequestDenied
+
 	healthCheckWake chan struct{} // of capacity 1; a value means that health checks may be due
 
 	mu          sync.Mutex // guards picker, its attempts, and retryBudget
@@ -83,6 +86,7 @@
 		clientConns:     newClientConns(),
 		cancelRequests:  cancel,
 		becameServable:  make(chan struct{}),
+		deniedLog:       rate.Sometimes{Interval: deniedLogInterval},
 		healthCheckWake: make(chan struct{}, 1),
 		picker:          balancer.New(balancer.Options{Zone: nodeSettings.Zone, Seed: seed}),
 		retryBudget:     retrybudget.New(bounds.RetryRatio, retryWindow, bounds.RetrySlack),
--- a/internal/fleet/gateway/handler.go
+++ b/internal/fleet/gateway/handler.go
@@ -21,6 +21,8 @@
 	minRetryAfter = 10 * time.Millisecond
 	// rejectedBodyTimeout is how long the body of a rejected request may take to arrive.
 	rejectedBodyTimeout = 200 * time.Millisecond
+	// deniedLogInterval is the shortest time between two log lines about denied requests.
+	deniedLogInterval = time.Second
 	// finalWriteTimeout is how long after the deadline of a request its response may still be written.
 	finalWriteTimeout = 250 * time.Millisecond
 )
@@ -162,5 +164,22 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(rejectedBodyTimeout))
 		w.Header().Set("Connection", "close")
 	}
+	g.logDenial(status, err)
 	http.Error(w, err.Error(), status)
 }
+
+// logDenial logs that a request was denied, at most once in deniedLogInterval.
+func (g *Gateway) logDenial(status int, reason error) {
+	g.deniedLog.Do(func() {
+		revision, confirmed := int64(0), -time.Second
+		if document := g.Config(); document != nil {
+			revision = document.Revision
+		}
+		if g.KeysFreshAsOf != nil {
+			if asOf := g.KeysFreshAsOf(); !asOf.IsZero() {
+				confirmed = time.Since(asOf)
+			}
+		}
+		logevent.RequestDenied.Log("status", status, "err", reason, "revision", revision, "confirmed", confirmed)
+	})
+}
--- a/internal/fleet/logevent/catalogue.go
+++ b/internal/fleet/logevent/catalogue.go
@@ -43,6 +43,7 @@
 	FirstRequestServed ID = 311
 	RequestRejected    ID = 320
 	QuotaExceeded      ID = 321
+	RequestDenied      ID = 322
 	AmbiguousFraming   ID = 330
 )
 
@@ -103,6 +104,7 @@
 	{FirstRequestServed, "first request served", "the last step of the start; `after` counts from the start of the process", noAction, levelAlways},
 	{RequestRejected, "request rejected", "a request got 503 with `Retry-After`; `why` names the missing capacity", "operator, if it happens often: add servers", levelRequests},
 	{QuotaExceeded, "request over its tenant's quota rejected", "a request got 429 with `Retry-After`; `tenant` names the tenant", "operator, if it happens often: raise the tenant's quota", levelRequests},
+	{RequestDenied, "request denied", "a request got the 4xx in `status`, for the reason in `err`; `revision` is the configuration in force, and `confirmed` is how long ago the core confirmed that no newer one was acknowledged, -1s if it never did; logged once a second", "owner of the client, if `confirmed` is short: correct the request; on-call, if it is long or -1s: the configuration may be out of date, look for E207 and E209", levelAlways},
 	{AmbiguousFraming, "request with ambiguous framing rejected", "a client sent a request that HTTP implementations delimit in different ways; it got 400 and its connection was closed", "owner of the client: correct what `err` names", levelRequests},
 
 	{StateFileCorrupted, "state file is corrupted and was set aside; the machine rejoins as a new member", "records in the state file don't match their checksums", "on-call: replace the disk if it happens again; keep the `.damaged` file and examine it with `edgectl state verify`", levelAlways},
