Deny requests only by a configuration that is known to be recent

Each denial that depends on the configuration was given by whatever configuration came last: 404 by an agent that had lost the core, for ever; 401 by an old list of keys; 413 and 431 by old limits; and 431 by a default where no configuration was known. An answer that something does not exist needs a lease on that knowledge as much as one that a key is still valid, and only the latter had one, in deployments with tenants.

Now every process confirms its configuration with the core as those did, and a configuration denies a request only if it was confirmed within converge-ms, less a margin for clocks, before the request came; otherwise the request gets 503 with a short, spread Retry-After and its connection is closed, so that the client finds another agent. So no request that is sent longer than converge-ms after an acknowledgement is denied by an older version: the confirmation is read before the configuration, and includes all that was acknowledged before it. Known routes are served as before.

Without tenants a member confirms each 0.3 to 0.75 s, by converge-ms; neither failures nor the sessions of agents that return hasten it, so that it is no load on a core that is overloaded. A member confirms once more as soon as the core answers for the first time, as otherwise a single process refuses in its first second what it should deny (TestSingleProcess found that).

The harness of the gateway's tests confirms by default; those of relay/freshness_test.go test the pace of deployments with tenants as before.

--- a/internal/fleet/daemon/daemon.go
+++ b/internal/fleet/daemon/daemon.go
@@ -86,7 +86,7 @@
 	}
 	d.openQuotas(nodeSettings)
 	d.relay = d.newRelay(nodeSettings)
-	d.gateway.KeysFreshAsOf = d.relay.ConfigFreshAsOf
+	d.gateway.ConfigFreshAsOf = d.relay.ConfigFreshAsOf
 	d.gateway.OnSent = d.relay.BroadcastNotice
 	d.gateway.OnFirstServed = d.recovery.requestServed
 	d.controlServer = controlapi.NewServer(d.newControlBackend(),
@@ -169,9 +169,10 @@
 		OnAttached:        d.recovery.coreReachable,
 		OnNotice:          d.gateway.ObserveRemotePrefill,
 		LinkMbps:          nodeSettings.Limits.LinkMbps,
-	}
-	if confirmsConfig(nodeSettings) {
-		options.ConfirmConfig = d.core.Confirm
+
+		ConfirmConfig:      d.core.Confirm,
+		ConfirmInterval:    confirmInterval(nodeSettings),
+		AwaitsConfirmation: awaitsConfirmation(nodeSettings),
 	}
 	if nodeSettings.HasDisk() {
 		options.SaveServers = func(list []byte) error { return d.core.SaveRecord(savedServersName, list) }
--- a/internal/fleet/daemon/denial_test.go
+++ b/internal/fleet/daemon/denial_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"chalkdoor.example/chalkdoor/internal/fleet/relay"
+	"chalkdoor.example/chalkdoor/internal/fleet/settings"
 )
 
 // removeDisk takes the disk from a machine, so that it stays outside of the core.
@@ -23,6 +26,18 @@
 	require.NoError(m.t, os.WriteFile(m.settingsPath, []byte(strings.Join(lines, "")), 0o600))
 }
 
+func TestConfirmInterval(t *testing.T) {
+	nodeSettings := &settings.Settings{}
+	for convergeMs, want := range map[int64]time.Duration{
+		200: relay.DefaultConfirmInterval, 2000: 500 * time.Millisecond, 3000: maxConfirmInterval, 60_000: maxConfirmInterval,
+	} {
+		nodeSettings.Bounds.ConvergeMs = convergeMs
+		require.Equal(t, want, confirmInterval(nodeSettings))
+	}
+	nodeSettings.ActiveContracts = []string{settings.ContractTenants}
+	require.Equal(t, relay.DefaultConfirmInterval, confirmInterval(nodeSettings))
+}
+
 // An agent that has lost the core answers a request without a route with 503, as a route for it may have been added,
 // and serves those that have one.
 func TestAgentWithoutCoreDeniesNoRoute(t *testing.T) {
--- a/internal/fleet/daemon/tenants.go
+++ b/internal/fleet/daemon/tenants.go
@@ -9,12 +9,31 @@
 	"chalkdoor.example/chalkdoor/internal/fleet/settings"
 )
 
-// confirmsConfig reports whether this process has to know how fresh its configuration is: the contracts
-// on tenants and on quotas require it.
-func confirmsConfig(nodeSettings *settings.Settings) bool {
+const (
+	// confirmationsPerConverge is how many confirmations of the configuration there are in the time after
+	// which an acknowledged one has to be in force. An agent learns the result of a confirmation at most two
+	// heartbeats of its session later, so that there is always one that is recent enough.
+	confirmationsPerConverge = 4
+	// maxConfirmInterval is the longest time between two confirmations.
+	maxConfirmInterval = 750 * time.Millisecond
+)
+
+// awaitsConfirmation reports whether requests wait until the configuration of a new process is confirmed, which
+// the contracts on tenants and on quotas require.
+func awaitsConfirmation(nodeSettings *settings.Settings) bool {
 	return nodeSettings.HasContract(settings.ContractTenants) || nodeSettings.HasContract(settings.ContractQuota)
 }
 
+// confirmInterval returns the time between two confirmations of the configuration. Where requests do not wait
+// for confirmations, these only have to be recent enough for the denial of requests.
+func confirmInterval(nodeSettings *settings.Settings) time.Duration {
+	if awaitsConfirmation(nodeSettings) {
+		return relay.DefaultConfirmInterval
+	}
+	converge := time.Duration(nodeSettings.Bounds.ConvergeMs) * time.Millisecond
+	return min(max(converge/confirmationsPerConverge, relay.DefaultConfirmInterval), maxConfirmInterval)
+}
+
 // savedQuotasName is the name of the record with the saved state of the quotas.
 const savedQuotasName = "quotas"
 
--- a/internal/fleet/gateway/body.go
+++ b/internal/fleet/gateway/body.go
@@ -82,5 +82,5 @@
 }
 
 func bodyTooLarge(limit int64) error {
-	return requestErrorf(http.StatusRequestEntityTooLarge, "body over %d bytes", limit)
+	return configDenialf(http.StatusRequestEntityTooLarge, "body over %d bytes", limit)
 }
--- a/internal/fleet/gateway/clientlimits_test.go
+++ b/internal/fleet/gateway/clientlimits_test.go
@@ -18,7 +18,7 @@
 
 // newFramingConn wraps a connection as Serve does, with the default limits.
 func newFramingConn(conn net.Conn, rejected *atomic.Int64) *framingConn {
-	return &framingConn{Conn: conn, rejected: rejected, clock: new(atomic.Int64), limits: func() clientLimits { return limitsOf(nil) }}
+	return &framingConn{Conn: conn, rejected: rejected, clock: new(atomic.Int64), limits: func() clientLimits { return limitsOf(nil) }, mayDeny: func() bool { return true }}
 }
 
 // withLimits returns a new configuration with the given limits.
--- a/internal/fleet/gateway/counters.go
+++ b/internal/fleet/gateway/counters.go
@@ -16,6 +16,7 @@
 	Unauthorized      atomic.Int64 // 401: no API key, or an unknown one; included in Rejected
 	OverQuota         atomic.Int64 // 429: over the tenant's quota
 	Unconfirmed       atomic.Int64 // 503 because API keys could not be confirmed; included in Refused
+	Outdated          atomic.Int64 // 503 because a configuration that may be out of date does not allow the request; included in Refused
 	QuotaUnavailable  atomic.Int64 // 503 because no core member decided on the quota; included in Refused
 }
 
@@ -42,6 +43,7 @@
 		"unauthorized":      c.Unauthorized.Load(),
 		"over-quota":        c.OverQuota.Load(),
 		"unconfirmed":       c.Unconfirmed.Load(),
+		"outdated":          c.Outdated.Load(),
 		"quota-unavailable": c.QuotaUnavailable.Load(),
 	}
 }
--- a/internal/fleet/gateway/framing_conn.go
+++ b/internal/fleet/gateway/framing_conn.go
@@ -21,6 +21,7 @@
 	rejected *atomic.Int64 // counts the rejected requests
 	clock    *atomic.Int64 // the clock of clientConns
 	limits   func() clientLimits
+	mayDeny  func() bool // see Gateway.limitMayDeny
 }
 
 // Accept waits for a connection.
@@ -29,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &framingConn{Conn: conn, rejected: l.rejected, clock: l.clock, limits: l.limits}, nil
+	return &framingConn{Conn: conn, rejected: l.rejected, clock: l.clock, limits: l.limits, mayDeny: l.mayDeny}, nil
 }
 
 // framingConn passes on what it reads until the end of a request becomes ambiguous or its head is too long.
@@ -40,6 +41,7 @@
 	rejected   *atomic.Int64
 	clock      *atomic.Int64
 	limits     func() clientLimits
+	mayDeny    func() bool
 	times      clientTimes
 	scanner    framingScanner
 	framingErr error  // the error of the scanner; nil if there is none
@@ -52,7 +54,7 @@
 		return c.readRemainder(p)
 	}
 	n, err := c.Conn.Read(p)
-	accepted, framingErr := c.scanner.scan(p[:n], c.limits().headerBytes)
+	accepted, framingErr := c.scanner.scan(p[:n], c.headerLimit(n))
 	c.observeHead()
 	if framingErr == nil {
 		return n, err
@@ -68,6 +70,19 @@
 	return c.readRemainder(p)
 }
 
+// headerLimit returns the limit on the head of a request if n more bytes were received. It is maxHeaderBytes
+// instead of the configuration's limit if that must not deny the request.
+func (c *framingConn) headerLimit(n int) int64 {
+	limit := c.limits().headerBytes
+	if c.scanner.headBytes+int64(n) <= limit {
+		return limit
+	}
+	if !c.mayDeny() {
+		return maxHeaderBytes
+	}
+	return c.limits().headerBytes
+}
+
 // observeHead records when the head began that is being received, 0 if none is.
 func (c *framingConn) observeHead() {
 	if !c.scanner.inHead() {
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -29,12 +29,13 @@
 
 // Gateway serves the requests of clients. All its methods are safe for concurrent use.
 type Gateway struct {
-	startedAt   time.Time
-	keyMaxAge   time.Duration // how long API keys may stay unconfirmed; 0 if there is no limit
-	pool        *pool
-	bodyMemory  *semaphore.Weighted // for request bodies, in bytes
-	lateUploads lateUploads
-	server      *http.Server
+	startedAt    time.Time
+	keyMaxAge    time.Duration // how long API keys may stay unconfirmed; 0 if there is no limit
+	denialMaxAge time.Duration // how long a configuration may stay unconfirmed and still deny requests
+	pool         *pool
+	bodyMemory   *semaphore.Weighted // for request bodies, in bytes
+	lateUploads  lateUploads
+	server       *http.Server
 
 	clientConns *clientConns
 
@@ -60,10 +61,10 @@
 	// OnFirstServed, if set, is called when the first request has been served. It must be set before Serve.
 	OnFirstServed func()
 
-	// KeysFreshAsOf returns a time such that the snapshot includes every configuration that was
-	// acknowledged before that time, or the zero time if none is known. It must not block. If the setting
-	// RevocationClosed is on, it must be set before Serve.
-	KeysFreshAsOf func() time.Time
+	// ConfigFreshAsOf returns a time such that the snapshot includes every configuration that was
+	// acknowledged before that time, or the zero time if none is known. It must not block. It must be set
+	// before Serve; without it no configuration denies a request.
+	ConfigFreshAsOf func() time.Time
 
 	// Quota, if set, admits the requests of tenants that have a quota. It must be set before Serve.
 	Quota QuotaClient
@@ -81,6 +82,7 @@
 	retryWindow := time.Duration(bounds.RetryWindowS * float64(time.Second))
 	g := &Gateway{
 		startedAt:       time.Now(),
+		denialMaxAge:    ConfigMaxAge(time.Duration(bounds.ConvergeMs) * time.Millisecond),
 		pool:            newPool(max(nodeSettings.Limits.FileDescriptors/2, minUpstreamConns)),
 		bodyMemory:      semaphore.NewWeighted(nodeSettings.Limits.MemoryMB << 20 / bodyMemoryDivisor),
 		clientConns:     newClientConns(),
--- a/internal/fleet/gateway/handler.go
+++ b/internal/fleet/gateway/handler.go
@@ -21,8 +21,6 @@
 	minRetryAfter = 10 * time.Millisecond
 	// rejectedBodyTimeout is how long the body of a rejected request may take to arrive.
 	rejectedBodyTimeout = 200 * time.Millisecond
-	// deniedLogInterval is the shortest time between two log lines about denied requests.
-	deniedLogInterval = time.Second
 	// finalWriteTimeout is how long after the deadline of a request its response may still be written.
 	finalWriteTimeout = 250 * time.Millisecond
 )
@@ -33,6 +31,8 @@
 	reasonMemory   = "memory"
 	reasonAttempts = "attempts"
 	reasonBudget   = "budget"
+	// reasonOutdated means that the configuration, which may be out of date, does not allow the request.
+	reasonOutdated = "outdated"
 	// reasonUnconfirmed means that an API key may have been revoked without this process knowing it.
 	reasonUnconfirmed = "unconfirmed"
 	// reasonQuota means that no core member decided whether the tenant's quota allows the request.
@@ -44,6 +44,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	receivedAt := time.Now()
 	g.Counters.Requests.Add(1)
+	mayDeny := g.configMayDeny(receivedAt) // before the snapshot is loaded
 	snapshot, refusal := g.servableSnapshot(req.Context(), receivedAt)
 	if refusal != "" {
 		if refusal == reasonUnconfirmed {
@@ -55,7 +56,7 @@
 	}
 	r, err := g.receive(w, req, snapshot, receivedAt)
 	if err != nil {
-		g.rejectOrRefuse(w, err)
+		g.rejectOrRefuse(w, err, mayDeny)
 		return
 	}
 	defer g.bodyMemory.Release(r.reservedBytes)
@@ -72,9 +73,10 @@
 	}
 	// The configuration may have changed while the body arrived. A request must not be sent
 	// according to an outdated one.
+	mayDeny = g.configMayDeny(receivedAt)
 	if current := g.snapshot.Load(); current.Config != snapshot.Config {
 		if r, err = reparse(req, current, r); err != nil {
-			g.reject(w, err)
+			g.rejectOrRefuse(w, err, mayDeny)
 			return
 		}
 	}
@@ -126,13 +128,18 @@
 	return ctx
 }
 
-// rejectOrRefuse answers a request that could not be received.
-func (g *Gateway) rejectOrRefuse(w http.ResponseWriter, err error) {
-	if errors.Is(err, errBodyMemory) {
+// rejectOrRefuse answers a request that could not be received. mayDeny is the result of configMayDeny before
+// the configuration was loaded.
+func (g *Gateway) rejectOrRefuse(w http.ResponseWriter, err error, mayDeny bool) {
+	var invalid *requestError
+	switch {
+	case errors.Is(err, errBodyMemory):
 		g.refuse(w, defaultRetryAfter, reasonMemory)
-		return
+	case errors.As(err, &invalid) && invalid.byConfig && !mayDeny:
+		g.refuseOutdated(w)
+	default:
+		g.reject(w, err)
 	}
-	g.reject(w, err)
 }
 
 // refuse answers a request that was not executed with 503 and Retry-After.
@@ -167,19 +174,3 @@
 	g.logDenial(status, err)
 	http.Error(w, err.Error(), status)
 }
-
-// logDenial logs that a request was denied, at most once in deniedLogInterval.
-func (g *Gateway) logDenial(status int, reason error) {
-	g.deniedLog.Do(func() {
-		revision, confirmed := int64(0), -time.Second
-		if document := g.Config(); document != nil {
-			revision = document.Revision
-		}
-		if g.KeysFreshAsOf != nil {
-			if asOf := g.KeysFreshAsOf(); !asOf.IsZero() {
-				confirmed = time.Since(asOf)
-			}
-		}
-		logevent.RequestDenied.Log("status", status, "err", reason, "revision", revision, "confirmed", confirmed)
-	})
-}
--- a/internal/fleet/gateway/harness_test.go
+++ b/internal/fleet/gateway/harness_test.go
@@ -78,6 +78,7 @@
 	nodeSettings := &settings.Settings{Name: "a", Zone: "z", IP: "127.0.0.1"}
 	nodeSettings.Limits.MemoryMB, nodeSettings.Limits.FileDescriptors = testMemoryMB, 1024
 	nodeSettings.Bounds.RetryRatio, nodeSettings.Bounds.RetryWindowS, nodeSettings.Bounds.RetrySlack = 1000, 10, 1000
+	nodeSettings.Bounds.ConvergeMs = testConvergeTime.Milliseconds()
 	return nodeSettings
 }
 
@@ -102,6 +103,7 @@
 		calls:   make(chan *upstreamCall, 4096),
 		conns:   map[net.Conn]bool{},
 	}
+	harness.gateway.ConfigFreshAsOf = time.Now
 	for range servers {
 		harness.startServer("s")
 	}
--- a/internal/fleet/gateway/lifecycle.go
+++ b/internal/fleet/gateway/lifecycle.go
@@ -25,7 +25,7 @@
 
 // Serve accepts client connections on a listener until Shutdown, and then returns nil.
 func (g *Gateway) Serve(listener net.Listener) error {
-	framing := &framingListener{Listener: listener, rejected: &g.Counters.Rejected, clock: &g.clientConns.clock, limits: g.limits}
+	framing := &framingListener{Listener: listener, rejected: &g.Counters.Rejected, clock: &g.clientConns.clock, limits: g.limits, mayDeny: g.limitMayDeny}
 	err := g.server.Serve(&http1.Listener{Listener: framing, InFlight: &g.inFlight})
 	if !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve clients")
--- a/internal/fleet/gateway/request.go
+++ b/internal/fleet/gateway/request.go
@@ -40,14 +40,15 @@
 
 // requestError says what is invalid about a request, and has the HTTP status of the response.
 type requestError struct {
-	status  int
-	message string
+	status   int
+	message  string
+	byConfig bool // whether another configuration might allow the request
 }
 
 func (e *requestError) Error() string { return e.message }
 
 func requestErrorf(status int, format string, args ...any) error {
-	return &requestError{status, fmt.Sprintf(format, args...)}
+	return &requestError{status: status, message: fmt.Sprintf(format, args...)}
 }
 
 // parseRequest matches a request to its route and reads its header fields. Its error is a *requestError.
@@ -64,7 +65,7 @@
 	path, _, _ := strings.Cut(target, "?")
 	route := snapshot.Config.Match(req.Host, path)
 	if route == nil {
-		return nil, requestErrorf(http.StatusNotFound, "no route for this host and path")
+		return nil, configDenialf(http.StatusNotFound, "no route for this host and path")
 	}
 	header := req.Header
 	if err := checkFields(header); err != nil {
--- a/internal/fleet/gateway/startup.go
+++ b/internal/fleet/gateway/startup.go
@@ -63,7 +63,7 @@
 
 // keysEverConfirmed reports whether the API keys have been confirmed since the start, or need not be.
 func (g *Gateway) keysEverConfirmed() bool {
-	return g.keyMaxAge == 0 || g.KeysFreshAsOf != nil && !g.KeysFreshAsOf().IsZero()
+	return g.keyMaxAge == 0 || g.ConfigFreshAsOf != nil && !g.ConfigFreshAsOf().IsZero()
 }
 
 // waitStarted waits until the process can serve, but at most for startupWait.
--- a/internal/fleet/gateway/startup_test.go
+++ b/internal/fleet/gateway/startup_test.go
@@ -15,7 +15,7 @@
 func TestRequestWaitsForTheFirstConfirmation(t *testing.T) {
 	harness := newHarness(t, 1, alwaysSucceed, withClosedRevocation)
 	var calls atomic.Int64
-	harness.gateway.KeysFreshAsOf = func() time.Time {
+	harness.gateway.ConfigFreshAsOf = func() time.Time {
 		if calls.Add(1) < 6 { // a waiting request calls it repeatedly
 			return time.Time{}
 		}
@@ -62,7 +62,7 @@
 // once, but too long ago.
 func TestNoWaitOnceStarted(t *testing.T) {
 	harness := newHarness(t, 1, alwaysSucceed, withClosedRevocation)
-	harness.gateway.KeysFreshAsOf = func() time.Time { return time.Now().Add(-time.Hour) }
+	harness.gateway.ConfigFreshAsOf = func() time.Time { return time.Now().Add(-time.Hour) }
 	harness.update(harness.withTenants())
 	require.False(t, harness.gateway.isStarting())
 	resp, _ := harness.roundTrip(requestHead("POST", "/once/x", "Api-Key: key-a\r\n"))
--- a/internal/fleet/gateway/tenant.go
+++ b/internal/fleet/gateway/tenant.go
@@ -12,10 +12,8 @@
 )
 
 const (
-	// revokeMargin and revokeMarginDivisor determine how much less KeyMaxAge is than the time allowed for a
-	// revocation: revokeMargin, or that time divided by revokeMarginDivisor if this is more. The margin is
-	// needed as two clocks are involved, which may run at different rates.
-	revokeMargin, revokeMarginDivisor = 250 * time.Millisecond, 20
+	// minClockMargin and clockMarginDivisor determine clockMargin.
+	minClockMargin, clockMarginDivisor = 250 * time.Millisecond, 20
 	// minKeyMaxAge is the lower bound of KeyMaxAge: with less, requests between two confirmations would be
 	// refused.
 	minKeyMaxAge = time.Second
@@ -26,7 +24,14 @@
 // KeyMaxAge returns how old the last confirmation of the API keys may be when a request is received. revoke
 // is the time after the acknowledgement of a key's removal from which requests with that key must be refused.
 func KeyMaxAge(revoke time.Duration) time.Duration {
-	return max(revoke-max(revokeMargin, revoke/revokeMarginDivisor), minKeyMaxAge)
+	return max(revoke-clockMargin(revoke), minKeyMaxAge)
+}
+
+// clockMargin returns how much less the highest age of a confirmation is than the time after which an
+// acknowledged change has to be in force. The margin is needed as two clocks are involved, which may run at
+// different rates.
+func clockMargin(inForceWithin time.Duration) time.Duration {
+	return max(minClockMargin, inForceWithin/clockMarginDivisor)
 }
 
 // QuotaClient decides which requests the quotas of their tenants admit.
@@ -49,7 +54,7 @@
 		tenant = document.TenantOfKey(strings.TrimSpace(keys[0]))
 	}
 	if tenant == nil && !route.Keyless {
-		return nil, requestErrorf(http.StatusUnauthorized, "send the API key of a tenant in %s", headerAPIKey)
+		return nil, configDenialf(http.StatusUnauthorized, "send the API key of a tenant in %s", headerAPIKey)
 	}
 	return tenant, nil
 }
@@ -71,14 +76,7 @@
 // request that was received at the given time: they were confirmed no longer than keyMaxAge before it. The
 // snapshot has to be loaded after this call.
 func (g *Gateway) keysConfirmed(receivedAt time.Time) bool {
-	if g.keyMaxAge == 0 {
-		return true
-	}
-	if g.KeysFreshAsOf == nil {
-		return false
-	}
-	asOf := g.KeysFreshAsOf()
-	return !asOf.IsZero() && receivedAt.Sub(asOf) <= g.keyMaxAge
+	return g.keyMaxAge == 0 || g.configConfirmed(receivedAt, g.keyMaxAge)
 }
 
 // stillAllowed reports whether the newest configuration still allows a request: it has a route for it, and
--- a/internal/fleet/gateway/tenant_test.go
+++ b/internal/fleet/gateway/tenant_test.go
@@ -123,7 +123,7 @@
 	harness := newHarness(t, 1, alwaysSucceed, withClosedRevocation)
 	var age time.Duration
 	known := false
-	harness.gateway.KeysFreshAsOf = func() time.Time {
+	harness.gateway.ConfigFreshAsOf = func() time.Time {
 		if !known {
 			return time.Time{}
 		}
@@ -222,7 +222,7 @@
 // TestKeyMaxAgeAllowsForSlowClocks checks that an agent whose clock is two percent slow still refuses a removed
 // key in time.
 func TestKeyMaxAgeAllowsForSlowClocks(t *testing.T) {
-	for revoke := minKeyMaxAge + revokeMargin; revoke < 2*time.Minute; revoke += 50 * time.Millisecond {
+	for revoke := minKeyMaxAge + minClockMargin; revoke < 2*time.Minute; revoke += 50 * time.Millisecond {
 		age := KeyMaxAge(revoke)
 		realAge := age + age/50
 		require.Less(t, realAge, revoke-revoke/50, "revoke-ms %v", revoke)
--- a/internal/fleet/relay/config.go
+++ b/internal/fleet/relay/config.go
@@ -87,6 +87,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.readiness.configCurrent = true
+	n.freshness.wakeConfirm() // the core has answered for the first time, so the first confirmation can succeed
 	logevent.NewestConfigConfirmed.Log("after", n.now()-clockStart)
 }
 
--- a/internal/fleet/relay/freshness.go
+++ b/internal/fleet/relay/freshness.go
@@ -20,9 +20,9 @@
 // or after the message that carries this configuration to the agent.
 
 const (
-	// confirmInterval is the time between the starts of two confirmations by a member of the core.
-	confirmInterval = 300 * time.Millisecond
-	// confirmRetryInterval is the pause after a confirmation that failed.
+	// DefaultConfirmInterval is the default of Options.ConfirmInterval.
+	DefaultConfirmInterval = 300 * time.Millisecond
+	// confirmRetryInterval is the pause after a confirmation that failed, if requests wait for one.
 	confirmRetryInterval = 100 * time.Millisecond
 	// maxConfirmations bounds the confirmations in progress.
 	maxConfirmations = 4
@@ -95,7 +95,7 @@
 	}
 	if m.FreshnessQuestion > s.freshness.question {
 		s.freshness.question = m.FreshnessQuestion
-		if s.freshness.confirmedQuestion == 0 {
+		if s.freshness.confirmedQuestion == 0 && n.options.AwaitsConfirmation {
 			n.freshness.wakeConfirm()
 		}
 	}
@@ -120,7 +120,7 @@
 			return
 		case ok := <-results:
 			<-slots
-			if !ok {
+			if !ok && n.options.AwaitsConfirmation {
 				timer.Reset(confirmRetryInterval)
 			}
 			n.logFreshness()
@@ -128,7 +128,7 @@
 		case <-n.freshness.confirmWake:
 		case <-timer.C:
 		}
-		timer.Reset(confirmInterval)
+		timer.Reset(n.options.ConfirmInterval)
 		if !n.options.Core.IsMember() {
 			n.logFreshness()
 			continue
@@ -162,7 +162,7 @@
 	for s, question := range questions {
 		isFirst := s.freshness.confirmedQuestion == 0 && question > 0
 		s.freshness.confirmedQuestion = max(s.freshness.confirmedQuestion, question)
-		if isFirst {
+		if isFirst && n.options.AwaitsConfirmation {
 			s.wakeSender()
 		}
 	}
--- a/internal/fleet/relay/freshness_test.go
+++ b/internal/fleet/relay/freshness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -31,6 +32,7 @@
 func newFreshNode(name string, member bool, core *confirmCore) *manualNode {
 	node := newManualNode(name, member, Peer{Addr: "addr of h"}, Peer{Addr: "addr of o"})
 	node.options.ConfirmConfig = core.confirm
+	node.options.AwaitsConfirmation = true
 	node.freshness.enabled = true
 	return node
 }
@@ -211,3 +213,56 @@
 		require.Zero(t, inProgress.Load())
 	})
 }
+
+// If requests do not wait for confirmations, neither failures nor the first questions of agents begin one early: the
+// core must not have more work when it is overloaded or all agents come back.
+func TestConfirmationsKeepTheirInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval, rounds = 750 * time.Millisecond, 20
+		var started atomic.Int32
+		p := newPair()
+		p.relay.options.AwaitsConfirmation, p.relay.options.ConfirmInterval = false, interval
+		p.relay.options.ConfirmConfig = func(context.Context) (uint64, error) {
+			started.Add(1)
+			return 0, errors.New("no majority")
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), rounds*interval-interval/2)
+		defer cancel()
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				p.ask()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+		p.relay.confirmLoop(ctx)
+		wg.Wait()
+		require.EqualValues(t, rounds, started.Load())
+	})
+}
+
+// At the longest interval between confirmations an agent's configuration stays recent enough.
+func TestFreshnessAtALongInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval, transit, maxAge = 750 * time.Millisecond, 100 * time.Millisecond, 1750 * time.Millisecond
+		p := newPair()
+		p.relay.options.AwaitsConfirmation, p.relay.options.ConfirmInterval = false, interval
+		p.core.during = func() { time.Sleep(transit) }
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		var wg sync.WaitGroup
+		wg.Go(func() { p.relay.confirmLoop(ctx) })
+		oldest := time.Duration(0)
+		for ctx.Err() == nil {
+			p.ask()
+			time.Sleep(heartbeatInterval)
+			p.answer()
+			if p.relay.now() > clockStart+2*interval {
+				require.GreaterOrEqual(t, p.agent.age(), time.Duration(0))
+				oldest = max(oldest, p.agent.age()+heartbeatInterval)
+			}
+		}
+		wg.Wait()
+		require.Less(t, oldest, maxAge)
+	})
+}
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -86,6 +86,13 @@
 	// acknowledged, as a majority confirmed after the call began. Only members of the core call it.
 	// If it is nil, this node sends no questions on the freshness of its configuration and answers none.
 	ConfirmConfig func(context.Context) (seq uint64, err error)
+	// ConfirmInterval is the time between the starts of two confirmations by a member of the core; 0 means
+	// DefaultConfirmInterval.
+	ConfirmInterval time.Duration
+	// AwaitsConfirmation tells that requests wait for the first confirmation. One is begun as soon as an agent
+	// asks for the first time, and one that failed is repeated soon. Otherwise confirmations keep to their
+	// interval, so that they are no load when the core has too much to do.
+	AwaitsConfirmation bool
 	// Dialer opens the connections of sessions; nil means TCP.
 	Dialer rpc.Dialer
 }
@@ -130,6 +137,9 @@
 	if options.Dialer == nil {
 		options.Dialer = rpc.TCPDialer{}
 	}
+	if options.ConfirmInterval == 0 {
+		options.ConfirmInterval = DefaultConfirmInterval
+	}
 	n := &Node{
 		options:                options,
 		startTime:              time.Now(),
--- a/internal/fleet/relay/testcluster_test.go
+++ b/internal/fleet/relay/testcluster_test.go
@@ -149,7 +149,7 @@
 	backendAddr := listener.Addr().String()
 	a.backendAddr.Store(&backendAddr)
 	ctx, cancel := context.WithCancel(a.ctx)
-	options := Options{Self: a.Member, HeartbeatInterval: a.heartbeatInterval, Core: a.fakeCore, SeedAddrs: a.seeds, ConfirmConfig: a.confirm}
+	options := Options{Self: a.Member, HeartbeatInterval: a.heartbeatInterval, Core: a.fakeCore, SeedAddrs: a.seeds, ConfirmConfig: a.confirm, AwaitsConfirmation: true}
 	var last *Snapshot
 	options.OnChange = func(s *Snapshot) { // called for one snapshot after the other
 		if last != nil {
--- a/internal/testbed/controlsim/process.go
+++ b/internal/testbed/controlsim/process.go
@@ -74,7 +74,7 @@
 	}
 	relayOptions.Core = assembly.RelayCore{Member: p.core}
 	if m.sim.scenario.tenantCount > 0 {
-		relayOptions.ConfirmConfig = p.core.Confirm
+		relayOptions.ConfirmConfig, relayOptions.AwaitsConfirmation = p.core.Confirm, true
 		p.tenants = newTenantGuard(p, firstStart)
 	}
 	p.relay = relay.New(relayOptions)
