--- a/internal/testbed/controlsim/tenant_checker.go
+++ b/internal/testbed/controlsim/tenant_checker.go
@@ -108,6 +108,22 @@
 	}
 }
 
+// checkFreshness checks that a process has every configuration that was acknowledged before the time of which it
+// claims so. The gateway denies requests by that claim.
+func (c *checker) checkFreshness(p *process, asOf time.Time, revision int64) {
+	if p.ended.Load() || asOf.IsZero() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, acked := range c.tenants.acked {
+		if acked.revision > revision && acked.at < asOf.Sub(c.sim.startedAt) {
+			c.reportViolationLocked(p.machine.name, "revision %d is confirmed as the newest %v after revision %d was acknowledged",
+				revision, asOf.Sub(c.sim.startedAt)-acked.at, acked.revision)
+		}
+	}
+}
+
 // checkQuotaLocked checks the window of a quota that ends with an admitted request.
 func (c *checker) checkQuotaLocked(r *tenantRequest) {
 	list := append(c.tenants.admitted[r.tenant], admission{r.decidedAt, r.tokens})
--- a/internal/testbed/controlsim/tenants.go
+++ b/internal/testbed/controlsim/tenants.go
@@ -118,6 +118,7 @@
 	if snapshot == nil || snapshot.Config == nil || !snapshot.Synced {
 		return refusedStarting
 	}
+	g.process.machine.sim.checker.checkFreshness(g.process, asOf, snapshot.Config.Revision)
 	if asOf.IsZero() || receivedAt.Sub(asOf) > gateway.KeyMaxAge(revokeTime) {
 		return refusedUnconfirmedKeys
 	}
