Close connections on responses from the moment the readiness check fails

Cause: the daemon set draining, which makes the readiness check fail, then logged, announced its draining to peers and told the control server, and only then called gateway.Shutdown. The gateway in turn failed its own probe before it told net/http to keep no connections.

Change: gateway.BeginShutdown sets one flag that both the probe and ServeHTTP read, so that both change at the same moment. The daemon calls it before it sets draining.

--- a/internal/fleet/daemon/daemon_test.go
+++ b/internal/fleet/daemon/daemon_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,7 +18,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"k8s.io/klog/v2"
 
+	"chalkdoor.example/chalkdoor/internal/fleet/logevent"
 	"chalkdoor.example/chalkdoor/internal/leaktest"
 )
 
@@ -312,6 +315,51 @@
 	process.terminateAndWait()
 }
 
+// logHandler calls a function with the text of each log line. The line's event waits for it.
+type logHandler struct {
+	slog.Handler
+	onLine func(text string)
+}
+
+func (h logHandler) Enabled(context.Context, slog.Level) bool { return true }
+
+func (h logHandler) Handle(_ context.Context, record slog.Record) error {
+	h.onLine(record.Message)
+	return nil
+}
+
+// A client that connects once the readiness check fails gets a response that closes its connection. The first log
+// line of the shutdown is held up until the client has its response.
+func TestResponsesCloseOnceReadinessFails(t *testing.T) {
+	machine := newTestMachine(t)
+	shutdownLine := fmt.Sprintf("E%d ", logevent.ShutdownStarted)
+	shutdownLogged, resume := make(chan struct{}), make(chan struct{})
+	klog.SetSlogLogger(slog.New(logHandler{slog.DiscardHandler, func(text string) {
+		if strings.HasPrefix(text, shutdownLine) {
+			close(shutdownLogged)
+			<-resume
+		}
+	}}))
+	t.Cleanup(klog.ClearLogger)
+	process := machine.start()
+	t.Cleanup(func() { close(resume) }) // before the cleanup that waits for the process
+	machine.callControl(200, "PUT", "/chalkdoor/config", configJSON(5),
+		"If-Match", "0", "Content-Type", "application/json")
+	machine.startModelServer("i-1")
+	require.Eventually(t, machine.isReady, testTimeout, 20*time.Millisecond)
+	process.terminate()
+	select {
+	case <-shutdownLogged:
+	case <-time.After(testTimeout):
+		require.FailNow(t, "the process does not shut down")
+	}
+	require.False(t, machine.isReady())
+	resp, done := machine.request("/a/x", "1")
+	defer done()
+	require.Equal(t, 200, resp.StatusCode)
+	require.True(t, resp.Close)
+}
+
 // Machines that shut down at the same time all fail their readiness checks within a second, although each
 // still has a stream, and none becomes ready again before the entry has removed it.
 func TestSeveralMachinesShutDownAtOnce(t *testing.T) {
--- a/internal/fleet/daemon/run.go
+++ b/internal/fleet/daemon/run.go
@@ -114,6 +114,7 @@
 // shutdown drains this process: it waits for the requests in flight, hands over its place in the core,
 // and announces its departure to other agents. Requests that outlast the grace period are canceled.
 func (d *Daemon) shutdown(nodeSettings *settings.Settings) {
+	d.gateway.BeginShutdown() // before draining is set, which makes the readiness check fail
 	d.draining.Store(true)
 	logevent.ShutdownStarted.Log("node", nodeSettings.Name)
 	deadline := time.Now().Add(nodeSettings.Grace() - departureReserve)
--- a/internal/fleet/gateway/handler.go
+++ b/internal/fleet/gateway/handler.go
@@ -42,6 +42,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	receivedAt := time.Now()
 	g.Counters.Requests.Add(1)
+	if g.shuttingDown.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	snapshot, refusal := g.servableSnapshot(req.Context(), receivedAt)
 	if refusal != "" {
 		if refusal == reasonUnconfirmed {
--- a/internal/fleet/gateway/handler_test.go
+++ b/internal/fleet/gateway/handler_test.go
@@ -231,6 +231,27 @@
 	require.True(t, probed)
 }
 
+// TestResponseOnceReadinessFails checks that a response closes its connection as soon as the readiness probe fails,
+// before net/http has been told that connections are not kept.
+func TestResponseOnceReadinessFails(t *testing.T) {
+	harness := newHarness(t, 1, func(call *upstreamCall, _ int) bool { return call.respondSuccess() })
+	harness.gateway.shuttingDown.Store(true)
+	recorder := httptest.NewRecorder()
+	harness.gateway.ServeReadiness(recorder, nil)
+	require.Equal(t, 503, recorder.Code)
+	for _, request := range []string{postRequest("/once/x", "", "q"), requestHead("GET", "/safe/x", "")} {
+		client := harness.dial()
+		client.write(request)
+		requireLastResponse(t, client)
+		client.requireClosed()
+	}
+	client := harness.dial()
+	client.write(postRequest("/no/route", "", "q"))
+	resp, _ := client.readResponse()
+	require.Equal(t, 404, resp.StatusCode)
+	require.True(t, resp.Close)
+}
+
 // shutdownClients are clients whose requests are at different stages when the gateway shuts down.
 type shutdownClients struct {
 	idle      *testClient // has received a response
--- a/internal/fleet/gateway/lifecycle.go
+++ b/internal/fleet/gateway/lifecycle.go
@@ -69,12 +69,18 @@
 	return instances, min(max(interval, minMaintenanceInterval), maxMaintenanceInterval)
 }
 
+// BeginShutdown makes the readiness probe fail and every response close its connection, both at the same moment,
+// and then closes idle connections. So a client that has learned of the shutdown keeps no connection.
+func (g *Gateway) BeginShutdown() {
+	g.shuttingDown.Store(true) // also read by ServeHTTP
+	g.server.SetKeepAlivesEnabled(false)
+}
+
 // Shutdown stops the gateway without dropping requests. For the duration of linger it still accepts
 // connections, as clients learn of the shutdown with a delay; every response closes its connection. Then it
 // closes the listener and waits for the requests in flight. It cancels those that are left when ctx ends.
 func (g *Gateway) Shutdown(ctx context.Context, linger time.Duration) {
-	g.shuttingDown.Store(true)
-	g.server.SetKeepAlivesEnabled(false)
+	g.BeginShutdown()
 	select {
 	case <-time.After(linger):
 	case <-ctx.Done():
