Give relay nodes a clock that tests may advance while the node runs

Cause: of the tests alone.

Change: Options.Now, by default time.Now. What the tests assert is as before.

--- a/internal/fleet/relay/cluster_test.go
+++ b/internal/fleet/relay/cluster_test.go
@@ -415,10 +415,10 @@
 	cluster.start()
 	cluster.eventually("has sessions but is not synced", func(agent *testAgent) bool { return hasMembers(3)(agent) && !agent.snapshot.Load().Synced })
 	cluster.edgeAgents[0].stop()
-	relay := cluster.coreMembers[0].node
+	relay := cluster.coreMembers[0]
 	for range 30 {
 		relay.advanceClock(tickInterval)
-		relay.tick()
+		relay.node.tick()
 	}
 	require.False(t, cluster.coreMembers[0].snapshot.Load().Synced)
 	require.True(t, hasMembers(3)(cluster.coreMembers[0]), "no agent is ended")
--- a/internal/fleet/relay/freshness_test.go
+++ b/internal/fleet/relay/freshness_test.go
@@ -49,7 +49,7 @@
 	if asOf.IsZero() {
 		return -1
 	}
-	return time.Since(asOf)
+	return n.options.Now().Sub(asOf)
 }
 
 // pair is a relay and an agent with a session between them.
--- a/internal/fleet/relay/manualnode_test.go
+++ b/internal/fleet/relay/manualnode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -9,9 +10,21 @@
 	"chalkdoor.example/chalkdoor/internal/fleet/deltasync"
 )
 
+// testClock is the clock of a node, which a test may advance while the node runs.
+type testClock struct {
+	advanced atomic.Int64 // in nanoseconds
+}
+
+// currentTime returns the time of the clock, for Options.Now.
+func (c *testClock) currentTime() time.Time { return time.Now().Add(time.Duration(c.advanced.Load())) }
+
+// advanceClock advances the clock.
+func (c *testClock) advanceClock(d time.Duration) { c.advanced.Add(int64(d)) }
+
 // manualNode is a node without goroutines of its own: the test calls tick and advances the node's clock.
 type manualNode struct {
 	*Node
+	testClock
 	core     *fakeCore
 	snapshot *Snapshot
 }
@@ -19,7 +32,7 @@
 func newManualNode(name string, core bool, peers ...Peer) *manualNode {
 	node := &manualNode{core: newFakeCore(core, core, peers...)}
 	node.Node = New(Options{Self: Member{Name: name, Addr: "addr of " + name, Zone: "near"}, HeartbeatInterval: 500 * time.Millisecond, Core: node.core,
-		SeedAddrs: func() []string { return []string{"seed-0", "seed-1", "seed-2"} }, OnChange: func(n *Snapshot) { node.snapshot = n }})
+		SeedAddrs: func() []string { return []string{"seed-0", "seed-1", "seed-2"} }, OnChange: func(n *Snapshot) { node.snapshot = n }, Now: node.testClock.currentTime})
 	return node
 }
 
@@ -120,10 +133,3 @@
 func leaseDelta(source string, from uint64, agent string, data []byte) deltasync.Delta {
 	return deltasync.Delta{Source: source, From: from, To: from + 1, Items: []deltasync.Item{{Key: leasePrefix + agent, Version: from + 1, Data: data}}}
 }
-
-// advanceClock advances a node's clock.
-func (n *Node) advanceClock(d time.Duration) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.startTime = n.startTime.Add(-d)
-}
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -88,13 +88,15 @@
 	ConfirmConfig func(context.Context) (seq uint64, err error)
 	// Dialer opens the connections of sessions; nil means TCP.
 	Dialer rpc.Dialer
+	// Now returns the current time; nil means time.Now. It must be safe for concurrent use.
+	Now func() time.Time
 }
 
 // Node is one process's endpoint of the replication. Its exported methods are safe for concurrent use;
 // methods whose names end in Locked must be called with mu held.
 type Node struct {
 	options   Options
-	startTime time.Time
+	startTime time.Time // by options.Now; never changed
 
 	mu            sync.Mutex // guards all fields below, and the sessions
 	items         *deltasync.Store
@@ -128,9 +130,12 @@
 	if options.Dialer == nil {
 		options.Dialer = rpc.TCPDialer{}
 	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
 	n := &Node{
 		options:       options,
-		startTime:     time.Now(),
+		startTime:     options.Now(),
 		changeLog:     eventlog.New[deltasync.Change](changeLogSize),
 		members:       map[string]Member{},
 		leases:        newLeaseManager(),
@@ -278,7 +283,7 @@
 }
 
 // now returns the time on the node's monotonic clock, which is always above zero.
-func (n *Node) now() time.Duration { return time.Since(n.startTime) + clockStart }
+func (n *Node) now() time.Duration { return n.options.Now().Sub(n.startTime) + clockStart }
 
 // notifyWaitersLocked wakes all goroutines that wait on changed.
 func (n *Node) notifyWaitersLocked() {
--- a/internal/fleet/relay/start_test.go
+++ b/internal/fleet/relay/start_test.go
@@ -64,6 +64,16 @@
 	assert.Equal(t, redialInterval, alone.redialPause(), "the others may be down for long")
 }
 
+// The clock of a node whose loops run may be advanced, as the race detector confirms.
+func TestStartLoopEndsAfterStartPeriod(t *testing.T) {
+	relay := newManualNode("o", true, Peer{Addr: "addr of o"}, Peer{Addr: "addr of p"})
+	var wg sync.WaitGroup
+	wg.Go(func() { relay.startLoop(t.Context()) })
+	relay.advanceClock(startPeriod)
+	wg.Wait()
+	require.False(t, relay.isSynced(), "the other member may be complete")
+}
+
 func (n *manualNode) isSynced() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/fleet/relay/testcluster_test.go
+++ b/internal/fleet/relay/testcluster_test.go
@@ -29,6 +29,7 @@
 	*testCluster
 	Member
 	*fakeCore
+	testClock
 	backendAddr atomic.Pointer[string] // the address on which it listens behind its proxy; nil before its first start
 	node        *Node                  // nil while the agent is stopped
 	snapshot    atomic.Pointer[Snapshot]
@@ -149,7 +150,7 @@
 	backendAddr := listener.Addr().String()
 	a.backendAddr.Store(&backendAddr)
 	ctx, cancel := context.WithCancel(a.ctx)
-	options := Options{Self: a.Member, HeartbeatInterval: a.heartbeatInterval, Core: a.fakeCore, SeedAddrs: a.seeds, ConfirmConfig: a.confirm}
+	options := Options{Self: a.Member, HeartbeatInterval: a.heartbeatInterval, Core: a.fakeCore, SeedAddrs: a.seeds, ConfirmConfig: a.confirm, Now: a.testClock.currentTime}
 	var last *Snapshot
 	options.OnChange = func(s *Snapshot) { // called for one snapshot after the other
 		if last != nil {
