Ignore SIGHUP from before the runtime of edged starts until it is handled

Cause: reloadsignal registers for SIGHUP when it is initialized, before main, but some 4.7 ms after the start, most of which the Go runtime and the packages before it take. The runtime installs handlers earlier, and those end the process.

Change: a constructor in C ignores SIGHUP before the runtime starts. The runtime leaves an ignored SIGHUP alone until signal.Notify asks for it. No reload is lost, as the settings are read later.

--- /dev/null
+++ b/internal/fleet/reloadsignal/ignore.go
@@ -0,0 +1,3 @@
+package reloadsignal
+
+import "C" // for ignore.c
