Notice that a client has left although bytes of its next request wait

What callers saw: a server worked on, to its end or the deadline, for a client that had sent a part of its next request before it disconnected.

Cause: while a handler runs, net/http reads one byte ahead, and cancels the request if that read fails. If it gets a byte, of a next request, it reads no more and never learns of the end behind it.

Change: a read ahead is one of a single byte, after a request that was read completely and whose handler has not returned. framingConn.Read then does not return with the byte, but waits on the socket for the end of the connection (POLLRDHUP, a reset or an error) and returns the byte with io.EOF, on which net/http cancels the request. It reads nothing, so further requests stay in the kernel's buffer. After the response net/http ends the read by a deadline, and the byte is returned without an error.

TestClientDisconnectAfterNextRequest: all 27 cases failed before (the wait for the server's connection to end shortened to 2 s for that run), now all end in under half a second. TestNextRequestIsServed, requests in parts during the ones before, passed before and after.

--- a/internal/fleet/gateway/clientconns.go
+++ b/internal/fleet/gateway/clientconns.go
@@ -79,13 +79,19 @@
 	if !ok {
 		return nil
 	}
-	framed, ok := clientConn.Conn.(*framingConn)
-	if !ok {
+	framed := framingConnOf(clientConn)
+	if framed == nil {
 		return nil
 	}
 	return &framed.times
 }
 
+// framingConnOf returns the connection that Serve has accepted and wrapped, or nil for any other connection.
+func framingConnOf(conn *http1.ClientConn) *framingConn {
+	framed, _ := conn.Conn.(*framingConn)
+	return framed
+}
+
 // enforce closes connections that exceed their limits, until ctx ends. The function limits returns the
 // current ones.
 func (c *clientConns) enforce(ctx context.Context, limits func() clientLimits) {
--- a/internal/fleet/gateway/disconnect_test.go
+++ b/internal/fleet/gateway/disconnect_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -148,6 +149,77 @@
 	})
 }
 
+// TestClientDisconnectAfterNextRequest checks that a client's disconnect ends its request at once even if bytes of its
+// next request, which have not been read, come before the end of the connection.
+func TestClientDisconnectAfterNextRequest(t *testing.T) {
+	const next = "GET /safe/next HTTP/1.1\r\nHost: h.example\r\n\r\n"
+	leave := map[string]func(*testing.T, *testClient){
+		"close":      func(_ *testing.T, client *testClient) { client.Close() },
+		"half-close": func(t *testing.T, client *testClient) { require.NoError(t, client.Conn.(*net.TCPConn).CloseWrite()) },
+		"reset": func(t *testing.T, client *testClient) {
+			require.NoError(t, client.Conn.(*net.TCPConn).SetLinger(0))
+			client.Close()
+		},
+	}
+	cases := map[string]struct{ first, later string }{
+		"start of the next":                {postRequest("/once/x", "", "q"), next[:7]},
+		"first byte of the next":           {postRequest("/once/x", "", "q"), next[:1]},
+		"whole next":                       {postRequest("/once/x", "", "q"), next},
+		"several":                          {postRequest("/once/x", "", "q"), strings.Repeat(next, 100)},
+		"what is no request":               {postRequest("/once/x", "", "q"), "\x00\x00\x00"},
+		"without a body":                   {requestHead("GET", "/safe/x", ""), next[:7]},
+		"with a chunked body":              {requestHead("POST", "/once/x", "Transfer-Encoding: chunked\r\n") + "1\r\nq\r\n0\r\n\r\n", next[:7]},
+		"the rest of a head begun with it": {postRequest("/once/x", "", "q") + next[:7], next[7:20]},
+		"behind an empty line":             {postRequest("/once/x", "", "q"), "\r\n" + next[:7]},
+	}
+	for how, leaveNow := range leave {
+		for name, testCase := range cases {
+			t.Run(how+" "+name, func(t *testing.T) {
+				harness := newHarness(t, 1, func(call *upstreamCall, _ int) bool { call.requireClosed(t); return false })
+				client := harness.dial()
+				client.write(testCase.first)
+				call := harness.nextCall()
+				client.write(testCase.later)
+				disconnected := time.Now()
+				leaveNow(t, client)
+				call.requireClosed(t)
+				require.Less(t, time.Since(disconnected), finalResponseMargin)
+				harness.requireNoCall()
+			})
+		}
+	}
+}
+
+// TestNextRequestIsServed checks that requests which arrive in parts during the ones before are served in order, on a
+// connection of which several have been read ahead.
+func TestNextRequestIsServed(t *testing.T) {
+	release := make(chan bool)
+	harness := newHarness(t, 1, func(call *upstreamCall, _ int) bool {
+		<-release
+		return call.respondSuccess()
+	})
+	client := harness.dial()
+	pieces := []string{postRequest("/once/0", "", "0") + "P"}
+	for i := 1; i < 4; i++ {
+		request := postRequest(fmt.Sprint("/once/", i), "", fmt.Sprint(i))
+		pieces = append(pieces, request[1:40], request[40:]+"P")
+	}
+	client.write(pieces[0])
+	harness.nextCall()
+	for i := 1; i < 4; i++ {
+		client.write(pieces[2*i-1])
+		release <- true
+		resp, body := client.readResponse()
+		require.Equal(t, 200, resp.StatusCode)
+		require.Equal(t, fmt.Sprint("served ", i-1), body)
+		client.write(pieces[2*i])
+		harness.nextCall()
+	}
+	release <- true
+	_, body := client.readResponse()
+	require.Equal(t, "served 3", body)
+}
+
 // listenWithFullBacklog returns a listener whose accept queue is full, so that further connects block.
 func listenWithFullBacklog(t *testing.T) net.Listener {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/fleet/gateway/framing_body.go
+++ b/internal/fleet/gateway/framing_body.go
@@ -55,7 +55,7 @@
 	switch {
 	case s.remaining > 0:
 	case s.state == stateBody:
-		*s = framingScanner{}
+		s.endMessage()
 	default:
 		s.chunkDigits = 0
 		s.state = stateChunkDataCR
--- a/internal/fleet/gateway/framing_conn.go
+++ b/internal/fleet/gateway/framing_conn.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 
 	"chalkdoor.example/chalkdoor/internal/fleet/logevent"
 )
@@ -41,13 +44,65 @@
 	clock      *atomic.Int64
 	limits     func() clientLimits
 	times      clientTimes
+	served     atomic.Uint64 // requests whose handler has returned
 	scanner    framingScanner
 	framingErr error  // the error of the scanner; nil if there is none
 	remainder  string // the rest of malformedRemainder that has not been read yet
 }
 
-// Read reads from the connection. After a framing error it reads what replaces the rejected request.
+// Read reads from the connection. After a framing error it reads what replaces the rejected request. If net/http reads
+// ahead while a handler runs, Read also waits for the end of the connection: net/http stops after one byte, and would
+// not notice that a client that has sent a part of its next request disconnects.
 func (c *framingConn) Read(p []byte) (int, error) {
+	readsAhead := c.readsAhead(p)
+	n, err := c.readFramed(p)
+	if readsAhead && n > 0 && err == nil {
+		err = c.awaitEnd()
+	}
+	return n, err
+}
+
+// readsAhead reports whether a read into p is one that net/http does while a handler runs: of a single byte, after a
+// request that was read completely and whose handler has not returned.
+func (c *framingConn) readsAhead(p []byte) bool {
+	return len(p) == 1 && c.scanner.messages > c.served.Load()
+}
+
+// awaitEnd waits until the client has closed its side of the connection or reset it, and returns io.EOF. It reads
+// nothing, so that further requests stay in the buffer of the kernel. It returns nil when net/http ends the read by a
+// deadline, which it does after the response.
+func (c *framingConn) awaitEnd() error {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	switch err = raw.Read(hasEnded); {
+	case err == nil:
+		return io.EOF
+	case isTimeout(err):
+		return nil
+	}
+	return err
+}
+
+// hasEnded reports whether the peer of a socket has closed its sending side or reset the connection, whether or not
+// all bytes before that have been read.
+func hasEnded(socket uintptr) bool {
+	for {
+		polled := []unix.PollFd{{Fd: int32(socket), Events: unix.POLLRDHUP}} // errors are always reported
+		count, err := unix.Poll(polled, 0)
+		if !errors.Is(err, unix.EINTR) {
+			return count > 0
+		}
+	}
+}
+
+// readFramed reads from the connection, or what replaces a rejected request.
+func (c *framingConn) readFramed(p []byte) (int, error) {
 	if c.framingErr != nil {
 		return c.readRemainder(p)
 	}
--- a/internal/fleet/gateway/framing_head.go
+++ b/internal/fleet/gateway/framing_head.go
@@ -137,13 +137,13 @@
 	case b != '\n':
 		return errLineEnd
 	case s.inTrailer:
-		*s = framingScanner{}
+		s.endMessage()
 	case s.hasTransferEncoding:
 		s.state = stateChunkSize
 	case s.remaining > 0:
 		s.state = stateBody
 	default:
-		*s = framingScanner{}
+		s.endMessage()
 	}
 	return nil
 }
--- a/internal/fleet/gateway/framing_scanner.go
+++ b/internal/fleet/gateway/framing_scanner.go
@@ -27,8 +27,8 @@
 
 // framingScanner scans the requests of one connection and finds the first byte at which the framing of a
 // request is ambiguous. It scans the request line and the header in framing_head.go, Content-Length and
-// Transfer-Encoding in framing_fields.go, and bodies in framing_body.go. It stores only the version and the
-// start of a field name, and allocates nothing. Its zero value expects a request. It is not safe for
+// Transfer-Encoding in framing_fields.go, and bodies in framing_body.go. It stores only the version, the
+// start of a field name and counts, and allocates nothing. Its zero value expects a request. It is not safe for
 // concurrent use.
 type framingScanner struct {
 	state      scanState
@@ -51,6 +51,8 @@
 	remaining           int64 // bytes of the body or chunk that have not been read yet
 
 	headBytes int64 // bytes of the current head that have been read
+
+	messages uint64 // requests that were read completely
 }
 
 // scan reads the next bytes of the connection. It returns how many of them may be passed on, and a *framingError
@@ -126,6 +128,9 @@
 	}
 }
 
+// endMessage counts a request that was read completely, and expects the next one.
+func (s *framingScanner) endMessage() { *s = framingScanner{messages: s.messages + 1} }
+
 // expect enters the next state if b is the required byte. Otherwise it returns err.
 func (s *framingScanner) expect(b, required byte, next scanState, err *framingError) *framingError {
 	if b != required {
--- a/internal/fleet/gateway/handler.go
+++ b/internal/fleet/gateway/handler.go
@@ -42,6 +42,12 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	receivedAt := time.Now()
 	g.Counters.Requests.Add(1)
+	conn, _ := req.Context().Value(clientConnKey{}).(*http1.ClientConn)
+	if conn != nil {
+		if framed := framingConnOf(conn); framed != nil {
+			defer framed.served.Add(1)
+		}
+	}
 	if g.shuttingDown.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -60,7 +66,7 @@
 		return
 	}
 	defer g.bodyMemory.Release(r.reservedBytes)
-	if conn, ok := req.Context().Value(clientConnKey{}).(*http1.ClientConn); ok {
+	if conn != nil {
 		if !conn.BeginRequest() {
 			// The connection was closed before the request was forwarded. No server has executed the
 			// request, so the client can safely send it again.
