Encode the initial update of a relay once for all agents that start

Callers saw nothing served for 2 to 3 s after 300 processes had started at once. Cause: each member of the core encoded and compressed all items for each of its sessions, and again for each that was lost and dialed again: a trial counted 1,700 compressions of 4.8 MB in 2 s at one member, half of its processor time, and heartbeats among the members that took over 0.4 s, so that quorums were lost again and again. Change: a relay encodes the items once for all agents that lack most of them, at most four times a second; what has changed since follows in the next update. Members of the core get their own, as they judge by the first message whether its sender is complete.

--- a/internal/fleet/deltasync/store.go
+++ b/internal/fleet/deltasync/store.go
@@ -89,6 +89,9 @@
 	return names
 }
 
+// SourceCount returns the number of sources.
+func (s *Store) SourceCount() int { return len(s.sources) }
+
 // Item returns the data of an item, or nil if there is none. The data must not be changed.
 func (s *Store) Item(name, key string) []byte {
 	if source := s.sources[name]; source != nil {
--- a/internal/fleet/relay/configcache.go
+++ b/internal/fleet/relay/configcache.go
@@ -48,13 +48,18 @@
 
 // encode returns the encoded message with a delta.
 func (form configForm) encode(codec *deltaCodec, delta deltasync.Delta) []byte {
-	m := &message{IsCore: form.isCore, HasQuorum: form.hasQuorum, Complete: form.complete, Deltas: []deltasync.Delta{delta}}
+	m := form.message([]deltasync.Delta{delta})
 	if form.compressed {
 		codec.compress(m)
 	}
 	return encode(m)
 }
 
+// message returns a message with deltas whose sender has the form's status.
+func (form configForm) message(deltas []deltasync.Delta) *message {
+	return &message{IsCore: form.isCore, HasQuorum: form.hasQuorum, Complete: form.complete, Deltas: deltas}
+}
+
 // has reports whether the cached message carries the given delta in the given form.
 func (c *configCache) has(delta *deltasync.Delta, form configForm) bool {
 	return len(c.encoded) > 0 && c.from == delta.From && c.to == delta.To && c.form == form
--- a/internal/fleet/relay/confighistory_test.go
+++ b/internal/fleet/relay/confighistory_test.go
@@ -255,10 +255,10 @@
 	change := func() {
 		seq++
 		relay.ApplyConfig(seq, tenantDocument(int(seq), tenants))
-		update, encodedConfig, _ := out.nextUpdate()
-		if len(encodedConfig) > 0 {
-			total += len(encodedConfig)
-			agent.receiveEncoded(b, fromRelay, encodedConfig)
+		update, encodedFirst, _ := out.nextUpdate()
+		for _, m := range encodedFirst {
+			total += len(m)
+			agent.receiveEncoded(b, fromRelay, m)
 		}
 		relay.codec.compress(update)
 		encoded := encode(update)
--- a/internal/fleet/relay/incarnation.go
+++ b/internal/fleet/relay/incarnation.go
@@ -75,6 +75,7 @@
 	delete(n.members, source)
 	n.servers.SourceEnded(now, source)
 	n.sessions.forgetSource(source)
+	n.initialUpdate = initialUpdate{} // it may hold items of the source
 }
 
 // publishEndLocked announces that a source has ended. Only members of the core announce ends.
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -125,6 +125,7 @@
 	sessions      sessionSet
 	upstream      upstreamSelector
 	configCache   configCache
+	initialUpdate initialUpdate
 	configHistory configHistory
 	// needsWholeConfig is set when a configuration diff could not be applied, until a configuration arrives.
 	needsWholeConfig bool
@@ -223,6 +224,7 @@
 	n.expireServersLocked(now, !n.attachment.reachesCore(now))
 	n.sessions.closeTimedOut(now)
 	n.configCache.expire(now)
+	n.initialUpdate.expire(now)
 	n.leases.observeAttachment(now, n.sessions.hasResponsiveRelay(now))
 	n.observeAttachmentLocked(now, isMember && hasQuorum, members)
 	n.observeMemberAddrsLocked(now, isMember)
--- a/internal/fleet/relay/send.go
+++ b/internal/fleet/relay/send.go
@@ -87,9 +87,9 @@
 // sendUpdate sends what the peer lacks, or a due heartbeat, and returns a channel that is closed at the
 // next change.
 func (out *sender) sendUpdate() (changed <-chan struct{}, err error) {
-	update, encodedConfig, changed := out.nextUpdate()
-	if len(encodedConfig) > 0 {
-		if err := out.stream.SendEncoded(encodedConfig); err != nil {
+	update, encoded, changed := out.nextUpdate()
+	for _, m := range encoded {
+		if err := out.stream.SendEncoded(m); err != nil {
 			return nil, err
 		}
 	}
@@ -109,15 +109,19 @@
 	return changed, nil
 }
 
-// nextUpdate returns the message with everything that the peer lacks. A large configuration is not part of
-// that message: it is returned as an encoded message, which must be sent first.
-func (out *sender) nextUpdate() (update *message, encodedConfig []byte, changed <-chan struct{}) {
+// nextUpdate returns the message with everything that the peer lacks. A large configuration and an initial update
+// are not part of that message: they are returned as encoded messages, which must be sent first.
+func (out *sender) nextUpdate() (update *message, encoded [][]byte, changed <-chan struct{}) {
 	n, s := out.node, out.session
 	update = &message{IsCore: n.options.Core.IsMember(), HasQuorum: n.options.Core.HasQuorum()}
 	members := n.options.Core.Members()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	out.coalesceInterval = n.sessions.coalesceInterval(s)
+	form := configForm{isCore: update.IsCore, hasQuorum: update.HasQuorum, complete: out.lastStatus.complete, compressed: s.acceptsZstd}
+	if initial := n.initialUpdateLocked(s, form); len(initial) > 0 {
+		encoded = append(encoded, initial)
+	}
 	update.Deltas = n.items.DeltasSince(s.sentVersions)
 	for _, delta := range update.Deltas {
 		s.sentVersions[delta.Source] = delta.To
@@ -125,8 +129,10 @@
 	if s.acceptsConfigDiffs {
 		update.ConfigDiff, update.Deltas = n.configHistory.extract(update.Deltas)
 	}
-	form := configForm{isCore: update.IsCore, hasQuorum: update.HasQuorum, complete: out.lastStatus.complete, compressed: s.acceptsZstd}
-	encodedConfig, update.Deltas = n.configCache.extract(n.now(), &n.codec, form, update.Deltas)
+	var encodedConfig []byte
+	if encodedConfig, update.Deltas = n.configCache.extract(n.now(), &n.codec, form, update.Deltas); len(encodedConfig) > 0 {
+		encoded = append(encoded, encodedConfig)
+	}
 	update.ReceivedVersion = n.items.LastVersion(s.source)
 	update.Complete = n.readiness.complete()
 	update.Acknowledged = n.takeAcknowledgementsLocked(s)
@@ -136,7 +142,7 @@
 	}
 	n.addFreshnessLocked(s, update)
 	n.addLeasePollLocked(s, update)
-	return update, encodedConfig, n.changed
+	return update, encoded, n.changed
 }
 
 // wait returns when an update may be due or ctx ends. Until then it sends pending notices.
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -46,12 +46,14 @@
 	lastProgress  time.Duration // when a check last found that bytesReceived had risen
 
 	// Progress of the replication.
-	sentVersions       deltasync.Vector // versions that the peer has or was sent
-	ackedVersions      deltasync.Vector // versions that the peer has acknowledged
-	pendingAcks        map[string]bool  // sources whose deltas from the peer are not acknowledged yet
-	ownReceivedVersion uint64           // version of this node's own source that the peer has
-	ownQuorumVersion   uint64           // version of the own source that a majority has, as the peer reports
-	wake               chan struct{}    // wakes the sender when there is something to send to this peer only
+	sentVersions deltasync.Vector // versions that the peer has or was sent
+	// initialUpdateChecked is set once it was decided whether the peer gets an initialUpdate.
+	initialUpdateChecked bool
+	ackedVersions        deltasync.Vector // versions that the peer has acknowledged
+	pendingAcks          map[string]bool  // sources whose deltas from the peer are not acknowledged yet
+	ownReceivedVersion   uint64           // version of this node's own source that the peer has
+	ownQuorumVersion     uint64           // version of the own source that a majority has, as the peer reports
+	wake                 chan struct{}    // wakes the sender when there is something to send to this peer only
 
 	freshness sessionFreshness
 
