Test that a server which sends DELETE first completes its requests

Some servers never say draining: they send DELETE, serve on and end. No test had requests in hand at such a server. TestDeregisteredServerCompletesItsRequests has a stream and an unanswered request there, sends DELETE, and late heartbeats of it before each of 50 more requests: those all go to another server, and the two in hand are completed.

--- a/internal/fleet/daemon/daemon_test.go
+++ b/internal/fleet/daemon/daemon_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -191,27 +192,35 @@
 	"services":[{"name":"s","health-path":"/health","later":[1,2]}],"limits":{"body-bytes":4194304}}`, revision)
 }
 
-// testModelServer answers requests at once. For a stream it sends event 1, and then an event for each
-// number that a test sends to nextEvent.
+// testModelServer answers requests at once, except one whose path ends in /held. For a stream it sends event 1, and
+// then an event for each number that a test sends to nextEvent.
 type testModelServer struct {
-	nextEvent chan int // number of the next event; 0, or closing the channel, ends the stream
+	nextEvent chan int      // number of the next event; 0, or closing the channel, ends the stream
+	release   chan struct{} // the held request is answered when it is closed
+	heartbeat string        // the body of its first heartbeat
+	received  atomic.Int64  // number of requests received
 }
 
 // startModelServer starts a model server and sends a single heartbeat for it.
 func (m *testMachine) startModelServer(id string) *testModelServer {
-	server := &testModelServer{nextEvent: make(chan int)}
+	server := &testModelServer{nextEvent: make(chan int), release: make(chan struct{})}
 	listener, err := net.Listen("tcp", m.ip+":0")
 	require.NoError(m.t, err)
 	srv := &http.Server{Handler: server}
 	go srv.Serve(listener)
 	m.t.Cleanup(func() { srv.Close() })
-	m.callControl(200, "PUT", "/chalkdoor/instances/"+id, fmt.Sprintf(
+	server.heartbeat = fmt.Sprintf(
 		`{"target-service":"s","address":%q,"zone":"z","revision":"v1","slots":8,"state":"ready","cold-ms":0,"call-seq":1}`,
-		listener.Addr()), "Content-Type", "application/json")
+		listener.Addr())
+	m.callControl(200, "PUT", "/chalkdoor/instances/"+id, server.heartbeat, "Content-Type", "application/json")
 	return server
 }
 
 func (s *testModelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.received.Add(1)
+	if strings.HasSuffix(r.URL.Path, "/held") {
+		<-s.release
+	}
 	w.Header().Set("Chalkdoor-Attempt-Id", r.Header.Get("Chalkdoor-Attempt-Id"))
 	w.Header().Set("Chalkdoor-Server-Seal", "seal")
 	if !strings.HasPrefix(r.URL.Path, "/b/") {
@@ -225,15 +234,21 @@
 	}
 }
 
-// request sends a request to the front on a new connection, and returns the response and a function that
-// closes the connection.
-func (m *testMachine) request(path, id string) (*http.Response, func()) {
+// send sends a request to the front on a new connection.
+func (m *testMachine) send(path, id string) net.Conn {
 	conn, err := net.Dial("tcp", net.JoinHostPort(m.ip, strconv.Itoa(m.frontPort)))
 	require.NoError(m.t, err)
 	_ = conn.SetDeadline(time.Now().Add(testTimeout))
 	_, err = fmt.Fprintf(conn,
 		"POST %s HTTP/1.1\r\nHost: h.example\r\nChalkdoor-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", path, id)
 	require.NoError(m.t, err)
+	return conn
+}
+
+// request sends a request to the front on a new connection, and returns the response and a function that
+// closes the connection.
+func (m *testMachine) request(path, id string) (*http.Response, func()) {
+	conn := m.send(path, id)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(m.t, err)
 	return resp, func() { conn.Close() }
@@ -315,6 +330,52 @@
 	process.terminateAndWait()
 }
 
+// A server that sends DELETE first and serves on completes the requests that it has, and gets no others, even if late
+// heartbeats of it arrive.
+func TestDeregisteredServerCompletesItsRequests(t *testing.T) {
+	const requests = 50
+	machine := newTestMachine(t)
+	process := machine.start()
+	machine.callControl(200, "PUT", "/chalkdoor/config", configJSON(5),
+		"If-Match", "0", "Content-Type", "application/json")
+	leaving := machine.startModelServer("i-leaving")
+	require.Eventually(t, machine.isReady, testTimeout, 20*time.Millisecond)
+	stream, closeStream := machine.request("/b/x", "stream")
+	defer closeStream()
+	held := machine.send("/a/held", "held")
+	defer held.Close()
+	require.Eventually(t, func() bool { return leaving.received.Load() == 2 }, testTimeout, time.Millisecond)
+
+	machine.callControl(200, "DELETE", "/chalkdoor/instances/i-leaving", `{"call-seq":3}`, "Content-Type", "application/json")
+	staying := machine.startModelServer("i-staying")
+	require.Eventually(t, func() bool {
+		resp, done := machine.request("/a/x", "first")
+		defer done()
+		return resp.StatusCode == 200
+	}, testTimeout, 10*time.Millisecond)
+	for i := range requests {
+		seq := fmt.Sprintf(`"call-seq":%d}`, 1+i)
+		machine.callControl(200, "PUT", "/chalkdoor/instances/i-leaving",
+			strings.Replace(leaving.heartbeat, `"call-seq":1}`, seq, 1), "Content-Type", "application/json")
+		resp, done := machine.request("/a/x", fmt.Sprint(i))
+		require.Equal(t, 200, resp.StatusCode)
+		done()
+	}
+	require.EqualValues(t, 1+requests, staying.received.Load())
+	require.EqualValues(t, 2, leaving.received.Load())
+
+	leaving.nextEvent <- 2
+	leaving.nextEvent <- 0
+	body, err := io.ReadAll(stream.Body)
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", string(body))
+	close(leaving.release)
+	resp, err := http.ReadResponse(bufio.NewReader(held), nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	process.terminateAndWait()
+}
+
 // logHandler calls a function with the text of each log line. The line's event waits for it.
 type logHandler struct {
 	slog.Handler
