Report an unknown outcome if a rejected submission may have been taken

What callers saw: after three rejections such as 401 or 404, Client.Submit returned Unavailable or NotFound although an attempt between them, which ended without an answer, by a time-out or with a 5xx, may have committed the submission. An operator could take it for refused.

Cause: only the end of the context asked whether an agent may have run it.

Change: an attempt that got a connection and ended without a rejection is remembered; Submit then returns OutcomeUnknown. Reads, and submissions that every agent rejected, return what they did.

--- a/internal/fleet/controlapi/client.go
+++ b/internal/fleet/controlapi/client.go
@@ -93,7 +93,8 @@
 // the committed revision. ifMatch is the revision that the submission is based on. The error has the
 // kind Invalid, TooLarge or Conflict if an agent refused the submission. If the context ends first, the
 // kind is Unavailable if no agent can have read the submission. Otherwise it is OutcomeUnknown: the
-// caller learns whether it is committed only by sending it again unchanged.
+// caller learns whether it is committed only by sending it again unchanged. It is OutcomeUnknown, too, if
+// agents rejected the submission and another one may have carried it out.
 func (c *Client) Submit(ctx context.Context, patch bool, ifMatch int64, body []byte) (revision int64, err error) {
 	method := http.MethodPut
 	if patch {
@@ -123,9 +124,11 @@
 func (c *Client) callWithRetries(ctx context.Context, call call) ([]byte, error) {
 	backoff, rejections := c.InitialBackoff, 0
 	var lastErr error
-	var sent atomic.Bool // whether any attempt got a connection, so that an agent may have read the call
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
+	var connections atomic.Int64 // got by all attempts; an agent may have read the call on each
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connections.Add(1) }})
+	mayHaveRun := false // whether an agent may have carried out the call without saying so
 	for i := 0; ; i++ {
+		earlierConnections := connections.Load()
 		status, answer, err := c.attempt(ctx, c.addresses[i%len(c.addresses)], call)
 		switch {
 		case err != nil:
@@ -141,12 +144,15 @@
 			}
 			if isRejection(status) {
 				if rejections++; rejections == maxRejections {
-					return nil, lastErr
+					return nil, rejectionError(lastErr, mayHaveRun && call.method != http.MethodGet)
 				}
 			}
 		}
+		if connections.Load() > earlierConnections && (err != nil || !isRejection(status)) {
+			mayHaveRun = true
+		}
 		if !sleep(ctx, backoff) {
-			return nil, timeoutError(lastErr, sent.Load() && call.method != http.MethodGet)
+			return nil, timeoutError(lastErr, connections.Load() > 0 && call.method != http.MethodGet)
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -158,11 +164,25 @@
 	return status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
 }
 
+// outcomeUnknown returns the error for a call that failed for a cause but that an agent may have carried out.
+func outcomeUnknown(cause error) error {
+	return apierror.Wrap(cause, apierror.OutcomeUnknown, "", "send the same again: it may have been taken")
+}
+
+// rejectionError returns the error for a call that was rejected maxRejections times, the last time with err.
+// mayHaveRun is true if an agent may have carried it out in another attempt.
+func rejectionError(err error, mayHaveRun bool) error {
+	if mayHaveRun {
+		return outcomeUnknown(err)
+	}
+	return err
+}
+
 // timeoutError returns the error for a call whose context has ended. mayHaveRun is true if an agent may
 // have carried it out.
 func timeoutError(cause error, mayHaveRun bool) error {
 	if mayHaveRun {
-		return apierror.Wrap(cause, apierror.OutcomeUnknown, "", "send the same again: it may have been taken")
+		return outcomeUnknown(cause)
 	}
 	return apierror.Wrap(cause, apierror.Unavailable, "", "name agents that run, or give more time")
 }
--- a/internal/fleet/controlapi/client_test.go
+++ b/internal/fleet/controlapi/client_test.go
@@ -137,6 +137,34 @@
 	assert.Equal(t, apierror.Unavailable, apierror.KindOf(err))
 }
 
+// A submission that an agent may have carried out before others refused it has an unknown outcome. One that every agent
+// refused, or that was only read, has not.
+func TestClientErrorsAfterRejections(t *testing.T) {
+	broken := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	silent := func(_ http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		<-request.Context().Done()
+	}
+	for name, first := range map[string]http.HandlerFunc{"broken": broken, "silent": silent, "503": respondStatus(503), "502": respondStatus(502)} {
+		for status, refused := range map[int]apierror.Kind{401: apierror.Unavailable, 404: apierror.NotFound} {
+			t.Run(fmt.Sprint(name, " then ", status), func(t *testing.T) {
+				rejecting := respondStatus(status)
+				for _, patch := range []bool{false, true} {
+					c := newTestClient(t, rejecting, first, rejecting, rejecting)
+					c.ResponseTimeout = 50 * time.Millisecond
+					_, err := c.Submit(t.Context(), patch, 0, []byte(`{}`))
+					assert.Equal(t, apierror.OutcomeUnknown, apierror.KindOf(err))
+					assert.ErrorContains(t, err, "send the same again")
+				}
+				_, err := newTestClient(t, rejecting).Submit(t.Context(), false, 0, []byte(`{}`))
+				assert.Equal(t, refused, apierror.KindOf(err))
+				_, _, err = newTestClient(t, respondStatus(503), rejecting, rejecting, rejecting).Config(t.Context())
+				assert.Equal(t, refused, apierror.KindOf(err))
+			})
+		}
+	}
+}
+
 func TestClientAndServer(t *testing.T) {
 	backend := &fakeBackend{config: `{"revision":7}`, onSubmit: func(_ context.Context, patch bool, ifMatch int64, body []byte) SubmitResult {
 		if ifMatch != 7 {
