Count only the processes that got SIGHUP in the test of early hangups

Cause: of the test alone; it required a signal at each of 50 starts. Change: it starts processes until 50 have got SIGHUP, at most 500; each of them still has to end by itself. Result: as strict as before, 50 processes with at least one signal each.

--- a/cmd/edged/main_test.go
+++ b/cmd/edged/main_test.go
@@ -15,8 +15,13 @@
 	"chalkdoor.example/chalkdoor/internal/fleet/settings"
 )
 
-// hangupStarts is how many processes get SIGHUP as they start.
-const hangupStarts = 50
+const (
+	// hangupStarts is how many processes get SIGHUP as they start.
+	hangupStarts = 50
+	// maxHangupStarts bounds the processes that are started. One that reads its settings before this process is
+	// scheduled again gets no signal and counts for nothing.
+	maxHangupStarts = 10 * hangupStarts
+)
 
 // A process never dies of SIGHUP once its first code has run. The signal is sent again and again, from when the kernel
 // shows that the process ignores or handles it until the process reads its settings. They are empty, so that it exits.
@@ -26,14 +31,18 @@
 	require.NoError(t, err, "%s", output)
 	settingsPipe := filepath.Join(t.TempDir(), "settings")
 	require.NoError(t, syscall.Mkfifo(settingsPipe, 0o600))
-	for start := range hangupStarts {
+	signaled := 0
+	for start := 0; signaled < hangupStarts; start++ {
+		require.Less(t, start, maxHangupStarts, "%d processes got SIGHUP", signaled)
 		process := exec.Command(program, "run")
 		process.Env = append(os.Environ(), settings.EnvironmentVariable+"="+settingsPipe)
 		require.NoError(t, process.Start())
 		sent := sendHangupsUntilOpened(t, process.Process.Pid, settingsPipe)
 		_ = process.Wait()
 		require.Equal(t, exitFailed, process.ProcessState.ExitCode(), "start %d, SIGHUP sent %d times: %v", start, sent, process.ProcessState)
-		require.Positive(t, sent)
+		if sent > 0 {
+			signaled++
+		}
 	}
 }
 
