Run the tests of the initial update in virtual time

Cause: of the test alone: over 250 ms passed between two agents, after which a relay encodes the items anew. Change: the tests run in a bubble of testing/synctest, in which time stands still while they work. Result: 20 of 20 with -race; what they assert is as before.

--- a/internal/fleet/relay/initialupdate_test.go
+++ b/internal/fleet/relay/initialupdate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -39,69 +40,77 @@
 
 // After a restart of the whole fleet a relay encodes and compresses the items once, not once for each agent.
 func TestAgentsThatStartAtOnceShareTheInitialUpdate(t *testing.T) {
-	relay := newRelayOfManyServers()
-	var shared []byte
-	for i := range 50 {
-		agent := newManualNode(fmt.Sprint("agent-", i), false, Peer{Addr: "addr of relay"})
-		_, encoded, update := relay.firstUpdate(t, agent)
-		require.Len(t, encoded, 1)
-		if shared == nil {
-			shared = encoded[0]
+	synctest.Test(t, func(t *testing.T) {
+		relay := newRelayOfManyServers()
+		var shared []byte
+		for i := range 50 {
+			agent := newManualNode(fmt.Sprint("agent-", i), false, Peer{Addr: "addr of relay"})
+			_, encoded, update := relay.firstUpdate(t, agent)
+			require.Len(t, encoded, 1)
+			if shared == nil {
+				shared = encoded[0]
+			}
+			require.Same(t, &shared[0], &encoded[0][0], "the same bytes for all agents")
+			require.Less(t, dataSize(update.Deltas), minCompressedBytes, "nothing is left to compress")
+			require.Len(t, agent.servers.List().ByID, 240)
 		}
-		require.Same(t, &shared[0], &encoded[0][0], "the same bytes for all agents")
-		require.Less(t, dataSize(update.Deltas), minCompressedBytes, "nothing is left to compress")
-		require.Len(t, agent.servers.List().ByID, 240)
-	}
+	})
 }
 
 // What has changed since the initial update was encoded is sent in the update after it.
 func TestChangesSinceTheInitialUpdate(t *testing.T) {
-	relay := newRelayOfManyServers()
-	relay.firstUpdate(t, newManualNode("agent-0", false, Peer{Addr: "addr of relay"}))
-	canceled, cancel := context.WithCancel(t.Context())
-	cancel() // no majority acknowledges the end
-	relay.Deregister(canceled, "server-7")
-	relay.ApplyConfig(1, documentOf(1))
-	relay.Heartbeat(t.Context(), &registry.Instance{ID: "new", Service: "llm", Addr: "10.0.1.1:80", State: registry.Ready})
-	agent := newManualNode("agent-1", false, Peer{Addr: "addr of relay"})
-	_, encoded, _ := relay.firstUpdate(t, agent)
-	require.Len(t, encoded, 1)
-	servers := agent.servers.List().ByID
-	assert.Contains(t, servers, "new")
-	assert.NotContains(t, servers, "server-7")
-	assert.EqualValues(t, 1, agent.ConfigSeq())
-	assert.Equal(t, relay.items.Vector()[relay.source()], agent.items.Vector()[relay.source()])
+	synctest.Test(t, func(t *testing.T) {
+		relay := newRelayOfManyServers()
+		relay.firstUpdate(t, newManualNode("agent-0", false, Peer{Addr: "addr of relay"}))
+		canceled, cancel := context.WithCancel(t.Context())
+		cancel() // no majority acknowledges the end
+		relay.Deregister(canceled, "server-7")
+		relay.ApplyConfig(1, documentOf(1))
+		relay.Heartbeat(t.Context(), &registry.Instance{ID: "new", Service: "llm", Addr: "10.0.1.1:80", State: registry.Ready})
+		agent := newManualNode("agent-1", false, Peer{Addr: "addr of relay"})
+		_, encoded, _ := relay.firstUpdate(t, agent)
+		require.Len(t, encoded, 1)
+		servers := agent.servers.List().ByID
+		assert.Contains(t, servers, "new")
+		assert.NotContains(t, servers, "server-7")
+		assert.EqualValues(t, 1, agent.ConfigSeq())
+		assert.Equal(t, relay.items.Vector()[relay.source()], agent.items.Vector()[relay.source()])
+	})
 }
 
 // An agent that has most items gets what it lacks alone, and a member of the core never gets shared bytes.
 func TestOthersGetNoInitialUpdate(t *testing.T) {
-	relay := newRelayOfManyServers()
-	agent := newManualNode("agent", false, Peer{Addr: "addr of relay"})
-	relay.firstUpdate(t, agent)
-	again := relay.connect("addr of agent", agent.source(), false)
-	again.acceptsZstd = true
-	again.sentVersions = agent.items.Vector()
-	_, encoded, _ := (&sender{node: relay.Node, session: again}).nextUpdate()
-	assert.Empty(t, encoded)
-	member := relay.connect("addr of member", "member/1", true)
-	member.acceptsZstd = true
-	_, encoded, _ = (&sender{node: relay.Node, session: member}).nextUpdate()
-	assert.Empty(t, encoded)
+	synctest.Test(t, func(t *testing.T) {
+		relay := newRelayOfManyServers()
+		agent := newManualNode("agent", false, Peer{Addr: "addr of relay"})
+		relay.firstUpdate(t, agent)
+		again := relay.connect("addr of agent", agent.source(), false)
+		again.acceptsZstd = true
+		again.sentVersions = agent.items.Vector()
+		_, encoded, _ := (&sender{node: relay.Node, session: again}).nextUpdate()
+		assert.Empty(t, encoded)
+		member := relay.connect("addr of member", "member/1", true)
+		member.acceptsZstd = true
+		_, encoded, _ = (&sender{node: relay.Node, session: member}).nextUpdate()
+		assert.Empty(t, encoded)
+	})
 }
 
 // The initial update is not retained while no agent starts, nor after a source of its items has ended.
 func TestInitialUpdateIsDropped(t *testing.T) {
-	relay := newRelayOfManyServers()
-	relay.firstUpdate(t, newManualNode("agent-0", false, Peer{Addr: "addr of relay"}))
-	require.NotEmpty(t, relay.initialUpdate.encoded)
-	relay.runFor(initialUpdateTTL+tickInterval, nil)
-	assert.Empty(t, relay.initialUpdate.encoded)
-	relay.firstUpdate(t, newManualNode("agent-1", false, Peer{Addr: "addr of relay"}))
-	require.NotEmpty(t, relay.initialUpdate.encoded)
-	relay.mu.Lock()
-	relay.endSourceLocked("agent-9/1")
-	relay.mu.Unlock()
-	assert.Empty(t, relay.initialUpdate.encoded)
+	synctest.Test(t, func(t *testing.T) {
+		relay := newRelayOfManyServers()
+		relay.firstUpdate(t, newManualNode("agent-0", false, Peer{Addr: "addr of relay"}))
+		require.NotEmpty(t, relay.initialUpdate.encoded)
+		relay.runFor(initialUpdateTTL+tickInterval, nil)
+		assert.Empty(t, relay.initialUpdate.encoded)
+		relay.firstUpdate(t, newManualNode("agent-1", false, Peer{Addr: "addr of relay"}))
+		require.NotEmpty(t, relay.initialUpdate.encoded)
+		relay.mu.Lock()
+		relay.endSourceLocked("agent-9/1")
+		relay.mu.Unlock()
+		assert.Empty(t, relay.initialUpdate.encoded)
+	})
 }
 
 // BenchmarkInitialUpdates measures the first updates of a relay to 50 agents that start at once.
