End both directions of a stream when its handler returns

Cause: a handler that returned without an error ended only the sending direction. If it had not received what the caller had sent, as a relay that refuses a session has not received the hello, drpc's reader waited for ever to hand that over, so it never saw that the caller had left, and no timeout applied. Change: HandleStream closes the stream when its handler returns.

--- a/internal/fleet/rpc/admission_test.go
+++ b/internal/fleet/rpc/admission_test.go
@@ -34,6 +34,7 @@
 		HandleUnary(mux, "echo", func(_ context.Context, request *testRequest) (*testResponse, error) {
 			return &testResponse{request.Text}, nil
 		})
+		HandleStream(mux, "refuse", func(st *Stream[testResponse, testRequest]) error { return st.Send(&testResponse{"later"}) })
 		listener := server.network.Listen("server")
 		ctx, cancel := context.WithCancel(t.Context())
 		var serving sync.WaitGroup
@@ -138,3 +139,21 @@
 		assert.Equal(t, want/callsDivisor, admitted.maxCalls, "%d MB", memoryMB)
 	}
 }
+
+// A handler that ends a stream without receiving what the caller has sent keeps no connection of callers that left.
+func TestStreamEndsWithItsHandler(t *testing.T) {
+	withHeldUpServer(t, func(t *testing.T, server *heldUpServer) {
+		defer close(server.released)
+		st, hangUp, err := OpenStreamWithDialer[testRequest, testResponse](t.Context(), server.network, "server", "refuse")
+		require.NoError(t, err)
+		sent := make(chan error, 1)
+		go func() { sent <- st.Send(&testRequest{Text: "hello"}) }()
+		synctest.Wait()
+		answer, err := st.Recv()
+		require.NoError(t, err)
+		assert.Equal(t, "later", answer.Text)
+		hangUp()
+		synctest.Wait()
+		assert.Zero(t, server.stats.Connections.Load())
+	})
+}
--- a/internal/fleet/rpc/mux.go
+++ b/internal/fleet/rpc/mux.go
@@ -42,7 +42,14 @@
 // HandleStream registers the handler of a call on which both sides may send messages at any time. The
 // stream ends when the handler returns. HandleStream panics if the name is already registered.
 func HandleStream[Out, In any](mux *Mux, name string, handler func(*Stream[Out, In]) error) {
-	handle := func(stream drpc.Stream) error { return handler(&Stream[Out, In]{stream}) }
+	handle := func(stream drpc.Stream) error {
+		if err := handler(&Stream[Out, In]{stream}); err != nil {
+			return err
+		}
+		// Ends both directions. If the stream waited for the handler to receive what the caller has sent, it would
+		// never see that the caller has left.
+		return stream.Close()
+	}
 	mux.register(name, registeredCall{handle: handle})
 }
 
