Simulate the return of 300 machines with slow processors, and require changes in time

Change: a simulated host can have a processor, which executes the reads and writes of its process one after the other; by default they take no time, as before. TestLargeFleetReturnsFromPowerLoss runs 6 members of the core, 294 agents and 240 servers that inform each other of 5 requests a second and process, takes the power of all for 0.85 s, and requires each change to be acknowledged within 6 s (ack-ms) and in force and synchronized everywhere within 3 s (converge-ms), with fewer than 2 sessions an agent at the core. The package also runs without the race detector, under which fewer changes are made. The times of the processors are estimates: 80 us and 50 us a KiB at a member of the core, 220 us and 130 us at an agent.

--- a/internal/testbed/controlsim/conn.go
+++ b/internal/testbed/controlsim/conn.go
@@ -56,6 +56,7 @@
 				c.received = nil
 			}
 			c.peer.cond.Broadcast()
+			c.local.workLocked(n)
 			return n, nil
 		case c.receivedFIN:
 			return 0, io.EOF
@@ -80,6 +81,9 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.network.mu.Lock()
 	defer c.network.mu.Unlock()
+	if c.err == nil {
+		c.local.workLocked(len(b))
+	}
 	done := 0
 	for done < len(b) {
 		available := windowBytes - c.inFlightBytes - len(c.peer.received)
--- a/internal/testbed/controlsim/doc.go
+++ b/internal/testbed/controlsim/doc.go
@@ -9,7 +9,8 @@
 //     (link_quality.go);
 //   - the disks (disk.go): a power loss keeps synced records, and may lose a write in progress; disks may be slow,
 //     stalled, full or lost;
-//   - machines and their processes (machine.go, process.go);
+//   - machines and their processes (machine.go, process.go), and the time that their input and output takes on one
+//     processor (processor.go), in the tests that set it;
 //   - the workload: operators, model servers and echo clients (operators.go, model_servers.go, echo.go);
 //   - faults (faults.go, inject.go): each is injected at its time, or just after a call of the core has arrived at a
 //     machine.
--- a/internal/testbed/controlsim/machine.go
+++ b/internal/testbed/controlsim/machine.go
@@ -50,7 +50,9 @@
 	m := &machine{sim: s, index: index, addedAt: time.Now(), name: fmt.Sprintf("%s-%d", kind, index),
 		zone: fmt.Sprintf("z%d", zone), region: fmt.Sprintf("r%d", zone/s.scenario.zonesPerRegion)}
 	m.host = s.network.addHost(fmt.Sprintf("10.0.0.%d%s", index+1, rpcPort))
+	m.host.processor = s.scenario.agentProcessor
 	if withDisk {
+		m.host.processor = s.scenario.coreProcessor
 		m.media = newMedia(s.newRandom("disk", index))
 	}
 	return m
--- a/internal/testbed/controlsim/network.go
+++ b/internal/testbed/controlsim/network.go
@@ -97,6 +97,8 @@
 	resumed         chan struct{} // closed when the pause ends
 	listener        *listener     // rpc port of the process; nil if the port is closed
 	controlListener *listener     // port of its control API; nil if the port is closed
+	processor       processor     // set before the first process starts
+	processorFreeAt time.Time     // time at which the processor has executed all work so far
 }
 
 // newNetwork returns a network that draws losses from a random source.
@@ -193,7 +195,7 @@
 func (n *network) powerOff(h *host) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	h.powered, h.listener, h.controlListener = false, nil, nil
+	h.powered, h.listener, h.controlListener, h.processorFreeAt = false, nil, nil, time.Time{}
 	for c := range n.conns {
 		if c.local == h {
 			c.breakLocked(syscall.ECONNRESET)
@@ -218,7 +220,7 @@
 func (n *network) closeProcess(h *host) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	h.listener, h.controlListener = nil, nil
+	h.listener, h.controlListener, h.processorFreeAt = nil, nil, time.Time{}
 	h.resumeLocked()
 	for c := range n.conns {
 		if c.local == h {
--- a/internal/testbed/controlsim/scenario.go
+++ b/internal/testbed/controlsim/scenario.go
@@ -63,6 +63,8 @@
 	bodySize          int           // size of a configuration's padding, in bytes
 	overHTTP          bool          // operators and servers use the control API over HTTP, not its backend
 	bandwidth         int           // bytes per second and direction of a connection; 0 if unlimited
+	coreProcessor     processor     // of each machine with a disk
+	agentProcessor    processor     // of each machine without a disk
 	faults            []Fault
 }
 
