Judge at each call whether its caller is a member of the core

Seen by a reviewer: a machine that joins the core after it has connected stays an ordinary caller on its pooled connection for ever, so that its heartbeats are refused while agents take all short calls. Cause: whether a caller has priority was decided once, as its connection was accepted; before the first view only the seeds have it. Change: it is judged at each call by the members of the core that are known then.

--- a/internal/fleet/rpc/admission.go
+++ b/internal/fleet/rpc/admission.go
@@ -68,8 +68,8 @@
 // admitConnection reports whether a new connection may be served. The caller must call release once nothing of
 // the connection is held any more.
 func (a *admission) admitConnection(conn *countingConn) (release func(), admitted bool) {
-	conn.priority = a.isPriority(conn.RemoteAddr())
-	if conn.priority && take(&a.stats.Reserved, a.maxReserved) {
+	conn.isPriority = func() bool { return a.isPriority(conn.RemoteAddr()) }
+	if conn.isPriority() && take(&a.stats.Reserved, a.maxReserved) {
 		return func() { a.stats.Reserved.Add(-1) }, true
 	}
 	if take(&a.stats.Connections, a.maxConnections) {
@@ -109,7 +109,7 @@
 func isPriorityCall(ctx context.Context) bool {
 	transport, _ := drpcctx.Transport(ctx)
 	conn, ok := transport.(*countingConn)
-	return ok && conn.priority
+	return ok && conn.isPriorityNow()
 }
 
 // Values returns the counts by name.
--- a/internal/fleet/rpc/receivedbytes.go
+++ b/internal/fleet/rpc/receivedbytes.go
@@ -11,10 +11,15 @@
 // long message is complete.
 type countingConn struct {
 	net.Conn
-	priority bool // whether a priority caller opened it; set before it is served
-	received atomic.Uint64
+	// isPriority reports whether the caller is a priority caller. It is asked anew at each call, as a machine may join
+	// the core after it has connected. It is set before the connection is served, and nil at the caller's side.
+	isPriority func() bool
+	received   atomic.Uint64
 }
 
+// isPriorityNow reports whether the caller is a priority caller now.
+func (c *countingConn) isPriorityNow() bool { return c.isPriority != nil && c.isPriority() }
+
 // Read implements net.Conn.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
