Let slow agents keep no others from starting, and back off from relays that refuse

Seen by a reviewer: a session kept one of twelve places until its first update was written, so that 50 agents behind slow links kept healthy ones without a relay for 8.8 s, 100 for 16.8 s; and an agent that all relays refuse dialed 5 times a second for ever, as a refusal halved its delay. Change: a session that takes longer than 0.6 s to start moves to one of 64 places for slow ones; after two refusals in a row the delay grows as if there had been no answer.

--- a/internal/fleet/relay/admission.go
+++ b/internal/fleet/relay/admission.go
@@ -20,6 +20,11 @@
 	maxWaitingSyncs = 64
 	// maxSyncWait bounds how long they wait. It leaves half of helloTimeout for the hello.
 	maxSyncWait = helloTimeout / 2
+	// maxSyncHold bounds how long a session that starts keeps others from starting, as its peer may have a slow link.
+	// It is longer than maxSyncWait: a relay that is held up itself refuses those that wait before it starts more.
+	// maxSlowSyncs bounds the sessions that take longer.
+	maxSyncHold  = 600 * time.Millisecond
+	maxSlowSyncs = 64
 	// minRetryAfter and retryAfterSpread are the minimum and the random part of the time after which an agent that
 	// is not admitted should dial again.
 	minRetryAfter    = 250 * time.Millisecond
@@ -39,6 +44,7 @@
 type sessionAdmission struct {
 	maxSessions int
 	slots       chan struct{} // holds a value for each session that is starting
+	slow        chan struct{} // holds a value for each that takes longer than maxSyncHold
 	waiting     atomic.Int64  // sessions that wait for a slot
 	refused     atomic.Int64  // sessions told to come back later
 }
@@ -48,6 +54,7 @@
 	return &sessionAdmission{
 		maxSessions: int(min(max(memoryBytes/bytesPerMB*sessionsPerMB, minSessions), maxSessions)),
 		slots:       make(chan struct{}, maxInitialSyncs),
+		slow:        make(chan struct{}, maxSlowSyncs),
 	}
 }
 
@@ -57,10 +64,9 @@
 	if st.IsPriority() {
 		return func() {}, true
 	}
-	release = sync.OnceFunc(func() { <-a.slots })
 	select {
 	case a.slots <- struct{}{}:
-		return release, true
+		return a.holdSlot(), true
 	default:
 	}
 	defer a.waiting.Add(-1)
@@ -71,13 +77,55 @@
 	defer timeout.Stop()
 	select {
 	case a.slots <- struct{}{}:
-		return release, true
+		return a.holdSlot(), true
 	case <-st.Context().Done():
 	case <-timeout.C:
 	}
 	return nil, false
 }
 
+// holdSlot returns a function that gives a slot back. A session that takes longer than maxSyncHold to start keeps no
+// slot, as long as there are fewer than maxSlowSyncs of them.
+func (a *sessionAdmission) holdSlot() (release func()) {
+	held := &heldSlot{from: a.slots}
+	timer := time.AfterFunc(maxSyncHold, func() { held.moveTo(a.slow) })
+	return func() {
+		timer.Stop()
+		held.giveBack()
+	}
+}
+
+// heldSlot is a place of one session in a channel that bounds the sessions.
+type heldSlot struct {
+	mu   sync.Mutex
+	from chan struct{} // nil once the place was given back
+}
+
+// moveTo exchanges the place for one in another channel, if that has one.
+func (h *heldSlot) moveTo(other chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.from == nil {
+		return
+	}
+	select {
+	case other <- struct{}{}:
+		<-h.from
+		h.from = other
+	default:
+	}
+}
+
+// giveBack gives the place back. It may be called more than once.
+func (h *heldSlot) giveBack() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.from != nil {
+		<-h.from
+		h.from = nil
+	}
+}
+
 // refuse tells the peer when to dial again.
 func (a *sessionAdmission) refuse(st *stream) error {
 	a.refused.Add(1)
--- a/internal/fleet/relay/redial.go
+++ b/internal/fleet/relay/redial.go
@@ -13,6 +13,9 @@
 	maxRedialDelay = 16 * minRedialDelay
 	// maxRetryAfter bounds the delay for which a busy relay may refuse this agent.
 	maxRetryAfter = 5 * time.Second
+	// maxEagerRefusals is how many relays may refuse an agent in a row before its dials are delayed as if they had
+	// no answer: then the whole core is busy.
+	maxEagerRefusals = 2
 )
 
 // redialBackoff spreads the attempts of an agent to start a session, so that relays that are too busy to answer
@@ -21,6 +24,7 @@
 	mu        sync.Mutex
 	delay     time.Duration        // mean delay after the latest attempt; 0 if there was none since reset
 	next      time.Time            // the earliest time of the next attempt
+	refusals  int                  // relays that refused this agent in a row
 	busyUntil map[string]time.Time // when relays that refused this agent may be dialed again, by address
 }
 
@@ -59,9 +63,11 @@
 }
 
 // refused records that the relay at an address is busy and asked to be dialed again after a delay. Another relay
-// may be dialed soon.
+// may be dialed soon, unless several have refused in a row.
 func (b *redialBackoff) refused(addr string, retryAfter time.Duration, now time.Time) {
-	b.allowSoon(now)
+	if b.countRefusal() <= maxEagerRefusals {
+		b.allowSoon(now)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.busyUntil == nil {
@@ -75,11 +81,19 @@
 	b.busyUntil[addr] = now.Add(min(max(retryAfter, minRedialDelay), maxRetryAfter))
 }
 
+// countRefusal counts a refusal and returns how many there were in a row.
+func (b *redialBackoff) countRefusal() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refusals++
+	return b.refusals
+}
+
 // reset records that a relay has sent its first update.
 func (b *redialBackoff) reset() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.delay, b.next, b.busyUntil = 0, time.Time{}, nil
+	b.delay, b.refusals, b.next, b.busyUntil = 0, 0, time.Time{}, nil
 }
 
 // jitter returns a random duration between half and one and a half of mean.
