Drop the initial update of a relay that continues as a new incarnation

Seen by a reviewer: an agent that dialed within 250 ms of a relay's new incarnation was sent the items of the old one. Cause: the encoded update was dropped as another agent's source ended, but not as the own one did. Result: TestInitialUpdateIsDroppedByANewIncarnation failed before: version 242 of the ended source.

--- a/internal/fleet/relay/incarnation.go
+++ b/internal/fleet/relay/incarnation.go
@@ -43,6 +43,7 @@
 	now, oldSource := n.now(), n.items.OwnSource()
 	logevent.OwnLeaseExpired.Log("old", oldSource)
 	n.items.StartIncarnation(n.newSourceName())
+	n.initialUpdate = initialUpdate{} // it holds items of the old source
 	newSource := n.items.OwnSource()
 	n.leases.Remove(now, oldSource)
 	delete(n.members, oldSource)
--- a/internal/fleet/relay/initialupdate_test.go
+++ b/internal/fleet/relay/initialupdate_test.go
@@ -113,6 +113,20 @@
 	})
 }
 
+// The initial update of a relay that continues as a new incarnation does not hold its ended source.
+func TestInitialUpdateIsDroppedByANewIncarnation(t *testing.T) {
+	relay := newRelayOfManyServers()
+	relay.firstUpdate(t, newManualNode("agent-0", false, Peer{Addr: "addr of relay"}))
+	require.NotEmpty(t, relay.initialUpdate.encoded)
+	old := relay.source()
+	relay.mu.Lock()
+	relay.startIncarnationLocked()
+	relay.mu.Unlock()
+	agent := newManualNode("agent-1", false, Peer{Addr: "addr of relay"})
+	relay.firstUpdate(t, agent)
+	assert.Zero(t, agent.items.Version(old), "the agent was sent the ended source of the relay")
+}
+
 // BenchmarkInitialUpdates measures the first updates of a relay to 50 agents that start at once.
 func BenchmarkInitialUpdates(b *testing.B) {
 	relay := newRelayOfManyServers()
