Back off from processes that refuse a request for the view

Cause: each error but a timeout counted as a failed connect, and failed connects did not end the back-off. Change: only connects that fail count as such, and they end it. The mutations follow this and the gateway's code.

--- a/internal/fleet/controlplane/discovery.go
+++ b/internal/fleet/controlplane/discovery.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"chalkdoor.example/chalkdoor/internal/fleet/view"
 )
 
@@ -38,7 +42,7 @@
 // observe records how a round of requests ended.
 func (d *viewDiscovery) observe(outcome discoveryOutcome) {
 	switch outcome {
-	case discoveryAnswered:
+	case discoveryAnswered, discoveryFailed: // failed connects cost no process anything
 		d.timedOut = 0
 	case discoveryTimedOut:
 		d.timedOut++
@@ -63,7 +67,7 @@
 
 const (
 	discoveryFailed   discoveryOutcome = iota // no connection was established, or there is no process to ask
-	discoveryTimedOut                         // there was no answer in time
+	discoveryTimedOut                         // there was no answer in time, or the process was too busy to give one
 	discoveryAnswered
 )
 
@@ -139,13 +143,19 @@
 		m.observeView(response.View)
 		_ = m.learnView(ctx, response.View) // later ticks repeat it
 		return discoveryAnswered
-	case ctx.Err() != nil:
-		return discoveryTimedOut
-	default:
+	case ctx.Err() == nil && isConnectError(err):
 		return discoveryFailed
+	default:
+		return discoveryTimedOut
 	}
 }
 
+// isConnectError reports whether a call failed because no connection was established.
+func isConnectError(err error) bool {
+	var failed *net.OpError
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &failed) && failed.Op == "dial"
+}
+
 // discoverViewOfRelay asks the relay of this process for a newer view. The pool then holds a connection to this
 // member of the core only.
 func (m *Member) discoverViewOfRelay(ctx context.Context, relay string) {
--- a/internal/fleet/gateway/handler.go
+++ b/internal/fleet/gateway/handler.go
@@ -44,7 +44,6 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	receivedAt := time.Now()
 	g.Counters.Requests.Add(1)
-	mayDeny := g.configMayDeny(receivedAt) // before the snapshot is loaded
 	conn, _ := req.Context().Value(clientConnKey{}).(*http1.ClientConn)
 	if conn != nil {
 		if framed := framingConnOf(conn); framed != nil {
@@ -54,6 +53,7 @@
 	if g.shuttingDown.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	mayDeny := g.configMayDeny(receivedAt) // before the snapshot is loaded
 	snapshot, refusal := g.servableSnapshot(req.Context(), receivedAt)
 	if refusal != "" {
 		if refusal == reasonUnconfirmed {
--- a/internal/testbed/mutation/table.go
+++ b/internal/testbed/mutation/table.go
@@ -120,7 +120,7 @@
 		Old: "MissedRemoval: received.View < p.removedInView,", New: "MissedRemoval: false,",
 		Packages: in(corePackage), Tests: "^TestRemovedVoterMissesItsRemoval$"},
 	{ID: "core-discovery-ends-at-a-lost-voter", Category: CatchUp, File: "internal/fleet/controlplane/discovery.go",
-		Old: "answered || ctx.Err() != nil {", New: "answered || true {",
+		Old: "round == discoveryAnswered || ctx.Err() != nil {", New: "round == discoveryAnswered || true {",
 		Packages: in(corePackage), Tests: "^TestDiscoveryPassesOverLostVoters$"},
 	{ID: "core-read-by-former-tail", Category: StaleState, File: "internal/fleet/controlplane/client.go",
 		Old: "if replica.View.Number != newest.Number || replica.View.Tail().ID != m.self.ID {", New: "if replica.View.Tail().ID != m.self.ID {",
