Give the simulated machines of a large fleet their memory limit

Change: the scenario has a memory limit, 102 MB here; servers end with the simulation between two heartbeats.

--- a/internal/testbed/controlsim/largefleet_test.go
+++ b/internal/testbed/controlsim/largefleet_test.go
@@ -21,6 +21,8 @@
 	noticesPerSecond = 5
 	// noticePrefill is the time that the prefill of each of these requests takes.
 	noticePrefill = 50 * time.Millisecond
+	// memoryBytes is the memory limit of each process.
+	memoryBytes = 102 << 20
 	// maxNoticeSegments bounds the prompt segments of a notice.
 	maxNoticeSegments = 12
 	// changeAckTimeout bounds the time from the first call of a change until it is acknowledged.
@@ -63,6 +65,7 @@
 		scenario.coreCount, scenario.agentCount, scenario.serverCount, scenario.maxHeartbeats = 6, 294, 240, 200
 		scenario.zoneCount, scenario.zonesPerRegion, scenario.toleratedLosses = 6, 6, 2
 		scenario.operatorCount, scenario.bodySize, scenario.faults = 0, 4<<10, nil
+		scenario.memoryBytes = memoryBytes
 		scenario.coreProcessor = processor{perOperation: 80 * time.Microsecond, perKiB: 50 * time.Microsecond}
 		scenario.agentProcessor = processor{perOperation: 220 * time.Microsecond, perKiB: 130 * time.Microsecond}
 		s := &simulation{scenario: scenario, startedAt: time.Now(), partitions: map[*partition]bool{}}
--- a/internal/testbed/controlsim/model_servers.go
+++ b/internal/testbed/controlsim/model_servers.go
@@ -44,6 +44,9 @@
 	for incarnation := 1; ctx.Err() == nil; incarnation++ {
 		id := fmt.Sprintf("server-%d-%d", s.index, incarnation)
 		for range 1 + s.random.IntN(s.sim.scenario.maxHeartbeats) {
+			if ctx.Err() != nil {
+				return
+			}
 			s.sendHeartbeat(ctx, id, registry.Ready)
 			sleep(ctx, heartbeatInterval/2+time.Duration(s.random.Int64N(int64(heartbeatInterval))))
 		}
--- a/internal/testbed/controlsim/process.go
+++ b/internal/testbed/controlsim/process.go
@@ -53,7 +53,7 @@
 		OnCommit: func(v chain.Value) { p.relay.ApplyConfig(v.Seq, v.Body) },
 		OnView:   func(v view.View) { m.sim.checker.viewLearned(p, v) }}
 	relayOptions := relay.Options{Self: relay.Member{Name: m.name, Addr: m.host.addr, Zone: m.zone, Region: m.region},
-		HeartbeatInterval: heartbeatInterval, SeedAddrs: m.seedAddrs, Dialer: dial,
+		HeartbeatInterval: heartbeatInterval, SeedAddrs: m.seedAddrs, Dialer: dial, MemoryBytes: m.sim.scenario.memoryBytes,
 		OnChange: func(snapshot *relay.Snapshot) {
 			if p.tenants != nil {
 				p.tenants.update(snapshot)
@@ -101,10 +101,10 @@
 	components.Wait()
 }
 
-// serverOptions returns the options of a process on a machine with little memory.
+// serverOptions returns the options of a process, by default on a machine with little memory.
 func (p *process) serverOptions() rpc.ServerOptions {
 	members := assembly.RelayCore{Member: p.core}.Members
-	return rpc.ServerOptions{IsPriority: assembly.IsPriorityCaller(members, p.machine.seedAddrs)}
+	return rpc.ServerOptions{MemoryBytes: p.machine.sim.scenario.memoryBytes, IsPriority: assembly.IsPriorityCaller(members, p.machine.seedAddrs)}
 }
 
 func applyUpdate(current []byte, update *chain.Update) ([]byte, int64, error) {
--- a/internal/testbed/controlsim/scenario.go
+++ b/internal/testbed/controlsim/scenario.go
@@ -65,6 +65,7 @@
 	bandwidth         int           // bytes per second and direction of a connection; 0 if unlimited
 	coreProcessor     processor     // of each machine with a disk
 	agentProcessor    processor     // of each machine without a disk
+	memoryBytes       int64         // memory limit of each process; 0 for the lowest bounds that follow from a limit
 	faults            []Fault
 }
 
