--- a/review/_lab2/fleet.go
+++ b/review/_lab2/fleet.go
@@ -82,14 +82,20 @@
 func (m *machine) control() string { return fmt.Sprintf("%s:%d", m.ip, controlPort) }
 func (m *machine) front() string   { return fmt.Sprintf("%s:%d", m.ip, frontPort) }
 
+// smallBounds and grownBounds are the bounds of gangapar-chalkdoor and of gangapar-chalkdoor-grown.
+const (
+	smallBounds = "seed-lag-s = 3\nreuse-after-s = 2\ncontact-ms = 3000\nack-ms = 4000\nsettle-s = 4\ndrain-ms = 2000\ngrace-s = 8\nloss-slack-ms = 200\nconverge-ms = 2000\nrevert-slack-ms = 250\nstretch-ms = 5000\nretry-ratio = 0.2\nretry-window-s = 10\nretry-slack = 58\nrecovery-s = 12\npass_ms = 120\nagain_s = 0\n"
+	grownBounds = "seed-lag-s = 3\nreuse-after-s = 2\ncontact-ms = 4000\nack-ms = 5000\nsettle-s = 6\ndrain-ms = 2500\ngrace-s = 8\nloss-slack-ms = 200\nconverge-ms = 2500\nrevert-slack-ms = 250\nstretch-ms = 6000\nretry-ratio = 0.2\nretry-window-s = 10\nretry-slack = 184\nrecovery-s = 15\npass_ms = 200\nagain_s = 0\n"
+)
+
 // fleet is a small deployment.
 type fleet struct {
 	rec      *record
 	dir      string
 	subnet   string
 	machines []*machine
-	extra    string // lines that the case adds to the [bounds] of the settings files
-	contract string // contracts beyond those of the small sites
+	losses   int    // machine-losses of the settings files
+	bounds   string // the [bounds] of the settings files
 	program  string
 	seeds    []string
 }
@@ -100,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{rec: rec, dir: dir, program: "target/edged"}
+	f := &fleet{rec: rec, dir: dir, program: "target/edged", losses: 1, bounds: smallBounds}
 	for range 50 { // a subnet of 127/8 whose addresses nobody uses
 		f.subnet = fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), rand.IntN(250))
 		l, err := net.Listen("tcp", f.subnet+".10:8262")
@@ -137,9 +143,9 @@
 	}
 	seeds := `"` + strings.Join(f.seeds, `","`) + `"`
 	fmt.Fprintf(&b, "node-name = %q\nrole = \"edged\"\nmachine-class = \"edge\"\nserved-roles = [\"edge\",\"control\"]\nip = %q\nzone = %q\nregion = \"region-1\"\n", m.name, m.ip, m.zone)
-	fmt.Fprintf(&b, "port-range = [7300,7315]\nseed-nodes = [%s]\nfirst-start = %v\ncounted-loss = %v\nstate-dir = %q\n", seeds, first, m.disk || f.diskless(), state)
+	fmt.Fprintf(&b, "port-range = [7300,7315]\nseed-nodes = [%s]\nfirst-start = %v\ncounted-loss = %v\nstate-dir = %q\n", seeds, first, m.disk, state)
 	fmt.Fprintf(&b, "discovery-source = \"self_register\"\nentry-kind = \"vip\"\nbeat-period-ms = %d\n", beatPeriod.Milliseconds())
-	fmt.Fprintf(&b, "active-contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\"%s]\n[zones]\n", f.contract)
+	fmt.Fprintf(&b, "active-contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\"]\n[zones]\n")
 	zones := map[string]bool{}
 	for _, other := range f.machines {
 		if !zones[other.zone] {
@@ -153,8 +159,7 @@
 		diskMB = 64
 	}
 	fmt.Fprintf(&b, "[limits]\ncpu-share = 0.72\ncpu-cores = 1\nmemory-mb = 284\nfd-limit = 4100\nlink-mbps = 1000.0\ndisk-mb = %d\n", diskMB)
-	b.WriteString("[fault-tolerance]\nmachine-losses = 1\nzones = 0\nregion-losses = 0\n")
-	b.WriteString("[bounds]\nseed-lag-s = 3\nreuse-after-s = 2\ncontact-ms = 3000\nack-ms = 4000\nsettle-s = 4\ndrain-ms = 2000\ngrace-s = 8\nloss-slack-ms = 200\nconverge-ms = 2000\nrevert-slack-ms = 250\nstretch-ms = 5000\nretry-ratio = 0.2\nretry-window-s = 10\nretry-slack = 58\nrecovery-s = 12\npass_ms = 120\nagain_s = 0\n" + f.extra)
+	fmt.Fprintf(&b, "[fault-tolerance]\nmachine-losses = %d\nzones = 0\nregion-losses = 0\n[bounds]\n%s", f.losses, f.bounds)
 	path := filepath.Join(m.dir, "local.toml")
 	return path, os.WriteFile(path, []byte(b.String()), 0o644)
 }
@@ -301,13 +306,3 @@
 	}
 	return true
 }
-
-// diskless reports whether no machine has a disk; all of them then form the core.
-func (f *fleet) diskless() bool {
-	for _, m := range f.machines {
-		if m.disk {
-			return false
-		}
-	}
-	return true
-}
